--- /dev/null
+++ b/src/bin/birchspur.rs
@@ -0,0 +1,23 @@
+//! One conductor on real sockets.
+
+use std::process::ExitCode;
+
+use milletseam::program::{Life, ProgramError, Setup};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("birchspur: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), ProgramError> {
+    let setup = Setup::from_environment()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let totals = runtime.block_on(async { Life::start(setup).await?.run().await })?;
+    println!("{totals}");
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,10 @@
 
 pub mod choice;
 pub mod interface;
+pub mod program;
+pub mod protocol;
+pub mod routing;
+pub mod transport;
 pub mod wire;
 
 /// The example of README.md, compiled and run.
--- /dev/null
+++ b/src/program/life.rs
@@ -0,0 +1,192 @@
+//! The program's phases, from start to exit, as named states of one object.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::interface::{Micros, SettingsError};
+use crate::protocol::config::{Config, ConfigError};
+use crate::protocol::settings::Fault;
+use crate::routing::{Core, Totals};
+use crate::transport::budget::Budget;
+use crate::transport::clock::Clock;
+use crate::transport::connector;
+use crate::transport::front::{self, Front, Listener};
+use crate::transport::hub::{self, Hub};
+use crate::transport::list::Watcher;
+use crate::transport::peer::Common;
+
+/// After SIGTERM new connections still come for a while, and are taken for this long.
+const STILL_OPEN: Duration = Duration::from_millis(600);
+/// The deadline is counted as at least this by those who send SIGKILL...
+const LEAST_DEADLINE: Micros = 3_000_000;
+/// ... which comes this long after it at the earliest; the program exits a little ahead.
+const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// Clients are taken on without discovery's first answer after this: the known list has to do.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Where the program stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing is promised yet.
+    Starting,
+    /// Clients are served.
+    Serving,
+    /// It was told to end: whoever comes is still served, but nobody is invited.
+    Draining,
+    /// No new connections; what is open is finished.
+    Closing,
+    /// All is answered, or the time is over.
+    Ended,
+}
+
+/// Why the program can't run.
+#[derive(Debug, Error)]
+pub enum ProgramError {
+    /// A variable that names something is missing.
+    #[error("the variable {0} is not set")]
+    Variable(&'static str),
+    /// A file can't be read.
+    #[error("{0} can't be read: {1}")]
+    File(String, io::Error),
+    /// The configuration is refused.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// A setting is out of place.
+    #[error("the settings can't be used: {0}")]
+    Fault(#[from] Fault),
+    /// The settings contradict themselves.
+    #[error("the settings can't be used: {0}")]
+    Settings(#[from] SettingsError),
+    /// It can't listen.
+    #[error("can't listen on {0}: {1}")]
+    Listen(String, io::Error),
+    /// The system fails it.
+    #[error("the system fails: {0}")]
+    System(#[from] io::Error),
+}
+
+/// All that the program is told at its start.
+pub struct Setup {
+    /// The platform's configuration.
+    pub config: Config,
+}
+
+impl Setup {
+    /// Reads what the environment names.
+    pub fn from_environment() -> Result<Self, ProgramError> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| ProgramError::Variable("LB_CONFIG"))?;
+        let text = std::fs::read_to_string(&path).map_err(|error| ProgramError::File(path, error))?;
+        Ok(Setup { config: Config::parse(&text)? })
+    }
+}
+
+/// One run of the program.
+pub struct Life {
+    phase: watch::Sender<Phase>,
+    ready: watch::Sender<bool>,
+    hub: Hub,
+    front: Front,
+    listener: Listener,
+    heard: watch::Receiver<bool>,
+    longest: Duration,
+    terminate: Signal,
+    report: Signal,
+}
+
+impl Life {
+    /// Starts the actors and listens; no client is invited yet.
+    pub async fn start(setup: Setup) -> Result<Self, ProgramError> {
+        let Setup { config } = setup;
+        let (terminate, report) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
+        let clock = Clock::start();
+        let budget = Budget::new(config.limits.sockets);
+        let (settings, links) = (config.settings.settings()?, config.settings.links()?);
+        let deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let names = config.settings.clone().names();
+        let mut core = Core::default();
+        let pool = core.add_pool(settings, config.seed()?, clock.now())?;
+        let (fetch, fetches) = mpsc::channel(1);
+        let (mut actor, hub) = hub::new(core, clock, budget.clone(), fetch);
+        let client = connector::client(links, budget.peers.clone());
+        let fields = names.report.clone().into();
+        actor.add_pool(Common { pool, hub: hub.clone(), client, links, fields });
+        let listener = Listener::bind(&config.listen, budget.fronts.clone())
+            .await
+            .map_err(|error| ProgramError::Listen(config.listen.clone(), error))?;
+        tokio::spawn(actor.run());
+        let watcher = Watcher {
+            pool,
+            address: config.discovery,
+            client: connector::client(links, Arc::new(tokio::sync::Semaphore::new(4))),
+            hub: hub.clone(),
+            names: names.clone(),
+            clock,
+        };
+        watcher.known(&config.known).await;
+        let (heard_by, heard) = watch::channel(false);
+        tokio::spawn(watcher.run(fetches, heard_by));
+        let (ready, is_ready) = watch::channel(false);
+        let front = Front { hub: hub.clone(), pool, names: Arc::new(names), ready: is_ready };
+        Ok(Life {
+            phase: watch::Sender::new(Phase::Starting),
+            ready,
+            hub,
+            front,
+            listener,
+            heard,
+            longest: Duration::from_micros(deadline.max(LEAST_DEADLINE)),
+            terminate,
+            report,
+        })
+    }
+
+    /// The phases as they come.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> io::Result<std::net::SocketAddr> {
+        self.listener.address()
+    }
+
+    /// Serves until SIGTERM, then finishes; gives the counters at the end.
+    pub async fn run(mut self) -> Result<Totals, ProgramError> {
+        let mut closing = self.phase.subscribe();
+        let closed = async move {
+            let _ = closing.wait_for(|phase| *phase == Phase::Closing).await;
+        };
+        let serving = axum::serve(self.listener, front::routes(self.front)).with_graceful_shutdown(closed);
+        let mut serving = tokio::spawn(serving.into_future());
+        let _ = tokio::time::timeout(PATIENCE, self.heard.wait_for(|heard| *heard)).await;
+        self.phase.send_replace(Phase::Serving);
+        self.ready.send_replace(true);
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.report.recv() => println!("{}", self.hub.totals().await),
+                ended = &mut serving => {
+                    ended.map_err(io::Error::other)??;
+                    break;
+                }
+            }
+        }
+        self.ready.send_replace(false);
+        self.phase.send_replace(Phase::Draining);
+        tokio::time::sleep(STILL_OPEN).await;
+        self.phase.send_replace(Phase::Closing);
+        if !serving.is_finished() {
+            let left = (self.longest + BEFORE_KILL).saturating_sub(STILL_OPEN);
+            // What is still open then would be cut off by the kill as well.
+            let _ = tokio::time::timeout(left, serving).await;
+        }
+        let totals = self.hub.totals().await;
+        self.phase.send_replace(Phase::Ended);
+        Ok(totals)
+    }
+}
--- /dev/null
+++ b/src/protocol/config.rs
@@ -0,0 +1,69 @@
+//! The configuration file of a conductor, as the platform writes it.
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::platform::List;
+use super::settings::{Fault, Info};
+
+/// What a conductor is told at its start.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Where discovery listens.
+    pub discovery: String,
+    /// Seed for random numbers, in hexadecimal digits.
+    pub seed: String,
+    /// What the machine has.
+    pub limits: MachineLimits,
+    /// The list of servers as it was known last; perhaps old.
+    pub known: List,
+    /// The settings, with the simulator's names and units.
+    pub settings: Info,
+}
+
+/// What the machine has.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct MachineLimits {
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+/// Why a configuration is refused.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// It is not the JSON that is expected.
+    #[error("the configuration can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A setting is out of place.
+    #[error("the settings can't be used: {0}")]
+    Setting(#[from] Fault),
+    /// The seed is not hexadecimal.
+    #[error("the seed '{0}' is not a hexadecimal number")]
+    Seed(String),
+    /// There are too few descriptors to serve anybody.
+    #[error("{0} sockets are too few: at least {LEAST_SOCKETS} are needed")]
+    Sockets(usize),
+}
+
+/// With fewer descriptors than this, fronts and peers can't both be served.
+pub const LEAST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads a configuration.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let config: Config = serde_json::from_str(text)?;
+        if config.limits.sockets < LEAST_SOCKETS {
+            return Err(ConfigError::Sockets(config.limits.sockets));
+        }
+        Ok(config)
+    }
+
+    /// The seed as a number.
+    pub fn seed(&self) -> Result<u64, ConfigError> {
+        u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
+    }
+}
--- /dev/null
+++ b/src/protocol/platform.rs
@@ -0,0 +1,255 @@
+//! The platform's protocol: headers of a request, the list of servers, load reports and the events that
+//! an answer ends with.
+
+use http::{HeaderMap, StatusCode};
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::settings::{Names, ReportField, digest, index};
+use crate::interface::*;
+
+/// The most that a body may hold.
+pub const MOST_BODY: usize = 256 * 1024;
+/// Header that names a request.
+pub const ID: &str = "x-correlation-id";
+/// Header that tells how long the sender will wait.
+pub const TIME_LEFT: &str = "x-time-left-ms";
+/// Header that proves that a request did not run.
+pub const UNPROCESSED: &str = "x-unprocessed";
+/// Header with a load report, and the name of the comment with it at a stream's end.
+pub const LOAD: &str = "x-backend-load";
+
+/// Why a request is answered 400.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum BadRequest {
+    /// A header that has to be there is not.
+    #[error("the header {0} is missing")]
+    Missing(&'static str),
+    /// A header does not hold what it should.
+    #[error("the header {0} can't be read")]
+    Malformed(&'static str),
+}
+
+/// What the headers of a request say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heading {
+    /// The id, as the client wrote it.
+    pub id: String,
+    /// The request as the decisions take it, without id and expiry.
+    pub request: Request,
+    /// How long the client waits.
+    pub time_left: Micros,
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, BadRequest> {
+    headers.get(name).map(|v| v.to_str().map_err(|_| BadRequest::Malformed(name))).transpose()
+}
+
+fn whole(text: &str, name: &'static str) -> Result<u64, BadRequest> {
+    text.trim().parse().map_err(|_| BadRequest::Malformed(name))
+}
+
+/// Reads a request's headers.
+pub fn heading(headers: &HeaderMap, names: &Names) -> Result<Heading, BadRequest> {
+    let need = |name| text(headers, name)?.filter(|t| !t.is_empty()).ok_or(BadRequest::Missing(name));
+    let id = need(ID)?;
+    if id.len() > 128 || !id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
+        return Err(BadRequest::Malformed(ID));
+    }
+    let class = index("class", &names.classes, need("x-service-class")?)
+        .map_err(|_| BadRequest::Malformed("x-service-class"))?;
+    let time_left = whole(need(TIME_LEFT)?, TIME_LEFT)?;
+    let mut request = Request { class: ClassId(class), ..Request::plain() };
+    request.session = text(headers, "x-session-key")?.map(|key| SessionKey(digest(key)));
+    if let Some(name) = text(headers, "x-account")? {
+        let tenant = index("tenant", &names.tenants, name).map_err(|_| BadRequest::Malformed("x-account"))?;
+        request.tenant = Some(TenantId(tenant));
+    }
+    request.hint = text(headers, "x-weight-hint")?.map(|hint| whole(hint, "x-weight-hint")).transpose()?;
+    request.resent = text(headers, "x-repeat")?.is_some();
+    facts(need("x-facts")?, &mut request)?;
+    Ok(Heading { id: id.to_string(), request, time_left: time_left.saturating_mul(1000) })
+}
+
+fn facts(text: &str, request: &mut Request) -> Result<(), BadRequest> {
+    const NAME: &str = "x-facts";
+    let mut prompt = None;
+    for fact in text.split(',') {
+        let (name, value) = fact.trim().split_once('=').ok_or(BadRequest::Malformed(NAME))?;
+        match name {
+            "prefix" => request.prefix = Some(PrefixKey(digest(value))),
+            "prompt_len" => prompt = Some(whole(value, NAME)?),
+            "prefix_len" => request.prefix_tokens = whole(value, NAME)?,
+            "max_out" => request.max_tokens = whole(value, NAME)?,
+            _ => {}
+        }
+    }
+    // Lengths beyond this are no prompts; the bound keeps sums of them in range.
+    const MOST_TOKENS: u64 = 1 << 40;
+    request.prompt_tokens = prompt.ok_or(BadRequest::Malformed(NAME))?;
+    if request.prompt_tokens.max(request.max_tokens).max(request.prefix_tokens) > MOST_TOKENS {
+        return Err(BadRequest::Malformed(NAME));
+    }
+    Ok(())
+}
+
+/// How an answer that is no stream ends an attempt.
+pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    match (status.as_u16(), headers.contains_key(UNPROCESSED)) {
+        (202, _) => Outcome::Read,
+        (410, true) => Outcome::NoState,
+        (503 | 504, true) => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+#[derive(Deserialize)]
+struct ReadReply {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// The tokens that a reader found kept, by its answer's body.
+pub fn kept_tokens(body: &[u8]) -> u64 {
+    serde_json::from_slice::<ReadReply>(body).map_or(0, |reply| reply.cached_tokens)
+}
+
+/// Reads a load report such as `TEXT inflight=7, queue=2, util=0.61`; unknown fields are passed over.
+pub fn report(text: &str, fields: &[ReportField]) -> Option<Report> {
+    let text = text.trim();
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    let mut report = Report::default();
+    let mut any = false;
+    for part in text.split(',') {
+        let Some((name, value)) = part.trim().split_once('=') else { continue };
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+            continue;
+        };
+        any = true;
+        let named = |field| fields.contains(&field);
+        match name.trim() {
+            "latency_ms" | "mean_ms" if named(ReportField::Latency) => {
+                report.latency = Some((value * 1000.0) as Micros);
+            }
+            "x0" if named(ReportField::MemoryShare) => report.memory_share = Some(value),
+            "x1" if named(ReportField::WaitingThousands) => report.waiting_tokens = Some(value * 1000.0),
+            _ => {}
+        }
+    }
+    any.then_some(report)
+}
+
+/// Watches a stream of events go by for what its end tells.
+#[derive(Default)]
+pub struct Tail {
+    line: Vec<u8>,
+    /// Prompt tokens found kept.
+    pub kept_tokens: u64,
+    /// The load report's text.
+    pub load: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<ReadReply>,
+}
+
+impl Tail {
+    /// The longest line that can be one of those looked for.
+    const MOST_LINE: usize = 4096;
+
+    /// Takes the next bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        for part in bytes.split_inclusive(|b| *b == b'\n') {
+            if self.line.len() < Self::MOST_LINE {
+                self.line.extend_from_slice(part);
+            }
+            if part.ends_with(b"\n") {
+                self.end_line();
+            }
+        }
+    }
+
+    fn end_line(&mut self) {
+        if let Ok(line) = std::str::from_utf8(&self.line) {
+            if let Some(comment) = line.strip_prefix(':') {
+                self.load = comment
+                    .split_once(':')
+                    .filter(|(name, _)| name.trim().eq_ignore_ascii_case(LOAD))
+                    .map(|(_, text)| text.trim().to_string())
+                    .or(self.load.take());
+            } else if let Some(data) = line.strip_prefix("data:").filter(|data| data.contains("\"usage\"")) {
+                let usage = serde_json::from_str::<Chunk>(data.trim()).ok().and_then(|chunk| chunk.usage);
+                if let Some(details) = usage.and_then(|usage| usage.prompt_tokens_details) {
+                    self.kept_tokens = details.cached_tokens;
+                }
+            }
+        }
+        self.line.clear();
+    }
+}
+
+/// An answer of discovery.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// The list's version.
+    pub revision: u64,
+    /// The whole list, or only what changed.
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Member>,
+}
+
+/// One server on the list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    /// Its name, the same at every conductor.
+    pub id: String,
+    /// Where it listens.
+    pub host_port: String,
+    locality: String,
+    flavor: String,
+    cell: u32,
+    phase: Phase,
+    size: f64,
+    up_since_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Phase {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+impl Member {
+    /// The server's number. Every conductor finds the same, as the decisions lay homes out by it.
+    pub fn server(&self) -> ServerId {
+        let digest = digest(&self.id);
+        ServerId((digest ^ (digest >> 32)) as u32)
+    }
+
+    /// The entry as the decisions take it; none if it names what the settings don't know. `started` maps
+    /// Unix time in milliseconds to the event clock.
+    pub fn entry(&self, names: &Names, started: impl Fn(f64) -> Option<Micros>) -> Option<ServerEntry> {
+        Some(ServerEntry {
+            id: self.server(),
+            zone: ZoneId(index("locality", &names.zones, &self.locality).ok()?),
+            kind: KindId(index("flavor", &names.kinds, &self.flavor).ok()?),
+            cell: CellId(self.cell),
+            state: match self.phase {
+                Phase::InService => ServerState::Ready,
+                Phase::Terminating => ServerState::Draining,
+                Phase::Terminated => ServerState::Gone,
+            },
+            weight: self.size,
+            started: started(self.up_since_ms),
+        })
+    }
+}
--- /dev/null
+++ b/src/protocol/settings.rs
@@ -0,0 +1,319 @@
+//! The settings object that an instance is told at its start, as JSON with the simulator's names and units.
+//! The simulator's wire and the configuration files of the conductor share this one reader of it.
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::interface::*;
+
+/// What is wrong with a field.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[error("{field}: {problem}")]
+pub struct Fault {
+    /// The field, or the message where no field is to blame.
+    pub field: String,
+    /// What is wrong.
+    pub problem: String,
+}
+
+/// A value, or the field that keeps it from being read.
+pub type Parsed<T> = Result<T, Fault>;
+
+/// Blames a field.
+pub fn fault<T>(field: &str, problem: impl Into<String>) -> Parsed<T> {
+    Err(Fault { field: field.to_string(), problem: problem.into() })
+}
+
+/// A finite number.
+pub fn number(field: &str, text: &str) -> Parsed<f64> {
+    match text.parse::<f64>() {
+        Ok(value) if value.is_finite() => Ok(value),
+        _ => fault(field, "not a number"),
+    }
+}
+
+/// Milliseconds, perhaps fractional, as whole microseconds.
+pub fn micros(field: &str, ms: f64) -> Parsed<Micros> {
+    let us = (ms * 1000.0).round();
+    if (0.0..9.0e18).contains(&us) { Ok(us as Micros) } else { fault(field, "not a time in range") }
+}
+
+/// A digest that is the same in every process (FNV-1a).
+pub fn digest(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// What a value of a load report stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Recent service time, in milliseconds.
+    Latency,
+    /// Share of the memory that is held.
+    MemoryShare,
+    /// Thousands of prompt tokens that wait.
+    WaitingThousands,
+    /// Nothing that the decisions use.
+    Unused,
+}
+
+/// What the settings say of connections; the decisions have no use for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Links {
+    /// A server closes a connection that is idle for this long.
+    pub idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect: Micros,
+}
+
+/// The names of one instance's settings, by which its events are mapped.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of server.
+    pub kinds: Vec<String>,
+    /// The values of a load report, in their order.
+    pub report: Vec<ReportField>,
+}
+
+/// The place of a name among those of the settings.
+pub fn index(field: &str, names: &[String], name: &str) -> Parsed<u16> {
+    match names.iter().position(|n| n == name).and_then(|i| u16::try_from(i).ok()) {
+        Some(i) => Ok(i),
+        None => fault(field, format!("'{name}' is not among the settings")),
+    }
+}
+
+/// The settings object as it is written.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Info {
+    az: String,
+    classes: Vec<InfoClass>,
+    discovery: String,
+    extra: InfoExtra,
+    limits: InfoLimits,
+    models: Vec<String>,
+    over_share_worth: f64,
+    prices: InfoPrices,
+    replicas_of_me: u32,
+    report: InfoReport,
+    rules: InfoRules,
+    step_ms: f64,
+    tenants: Vec<InfoTenant>,
+    zones: Vec<String>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoClass {
+    aim_ms: f64,
+    deadline_ms: f64,
+    dedup_window_ms: f64,
+    key_scope: String,
+    late_value: f64,
+    name: String,
+    points: f64,
+    repeat: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoExtra {
+    aim_us_per1000_prompt_tokens: Vec<f64>,
+    cross_cell_price: f64,
+    early_pairing: bool,
+    kind_role: Vec<String>,
+    kv_tokens: Vec<f64>,
+    release_within_ms: f64,
+    resume: bool,
+    self_prefill: bool,
+    token_aim_ms: Vec<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoLimits {
+    conn_idle_ms: Option<f64>,
+    connect_timeout_ms: Option<f64>,
+    max_retry_after_ms: f64,
+    may_cancel: bool,
+    probes: bool,
+    retry_after: bool,
+    second_copies: bool,
+    send_cap: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoPrices {
+    cross_zone: f64,
+    late_fail: f64,
+    probe: f64,
+    waste: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoReport {
+    fields: Vec<String>,
+    source: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoRules {
+    answer_slack_ms: f64,
+    ask_within_ms: f64,
+    cold_from: f64,
+    drain_grace_ms: f64,
+    fall_multiple: f64,
+    tip_after_ms: f64,
+    warm_up_ms: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct InfoTenant {
+    name: String,
+    quota_per_s: f64,
+    share: f64,
+}
+
+fn time(key: &str, ms: f64) -> Parsed<Micros> {
+    micros(&format!("Info {key}"), ms)
+}
+
+impl Info {
+    /// The settings as the decisions take them.
+    pub fn settings(&self) -> Parsed<Settings> {
+        let per = |key: &str, values: &[f64], at: usize| match values.get(at) {
+            Some(value) => Ok(*value),
+            None => fault(&format!("Info {key}"), "has too few entries"),
+        };
+        let extra = &self.extra;
+        let mut kinds = Vec::new();
+        for (at, _) in self.models.iter().enumerate() {
+            let role = match extra.kind_role.get(at).map(String::as_str) {
+                Some("read") => Role::Reader,
+                Some("write") => Role::Writer,
+                Some("both") => Role::Mixed,
+                Some(_) => return fault("Info Extra.KindRole", "none of read, write and both"),
+                None => return fault("Info Extra.KindRole", "has too few entries"),
+            };
+            let memory_tokens = per("Extra.KvTokens", &extra.kv_tokens, at)? as u64;
+            kinds.push(Kind { role, memory_tokens });
+        }
+        let mut classes = Vec::new();
+        for (at, class) in self.classes.iter().enumerate() {
+            let per_1000 = per("Extra.AimUsPer1000PromptTokens", &extra.aim_us_per1000_prompt_tokens, at)?;
+            classes.push(Class {
+                aim: time("Classes.AimMs", class.aim_ms)?,
+                aim_per_1000_tokens: time("Extra.AimUsPer1000PromptTokens", per_1000 / 1000.0)?,
+                deadline: time("Classes.DeadlineMs", class.deadline_ms)?,
+                token_aim: time("Extra.TokenAimMs", per("Extra.TokenAimMs", &extra.token_aim_ms, at)?)?,
+                worth: class.points,
+                late_worth: class.late_value,
+                effect: class.effect()?,
+                key_window: time("Classes.DedupWindowMs", class.dedup_window_ms)?,
+            });
+        }
+        let (limits, rules, prices) = (&self.limits, &self.rules, &self.prices);
+        let settings = Settings {
+            zone: ZoneId(index("Info Az", &self.zones, &self.az)?),
+            dispatchers: self.replicas_of_me,
+            step: time("StepMs", self.step_ms)?,
+            kinds,
+            classes,
+            tenants: (self.tenants.iter())
+                .map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s })
+                .collect(),
+            over_share_worth: self.over_share_worth,
+            limits: Limits {
+                attempts: limits.send_cap,
+                cancel: limits.may_cancel,
+                probes: limits.probes,
+                second_copies: limits.second_copies,
+                retry_after: limits.retry_after,
+                retry_after_most: time("Limits.MaxRetryAfterMs", limits.max_retry_after_ms)?,
+                places_ahead: extra.early_pairing,
+                resume: extra.resume,
+                writers_read: extra.self_prefill,
+            },
+            rules: Rules {
+                answer_slack: time("Rules.AnswerSlackMs", rules.answer_slack_ms)?,
+                drain_grace: time("Rules.DrainGraceMs", rules.drain_grace_ms)?,
+                cold_from: rules.cold_from,
+                warm_up: time("Rules.WarmUpMs", rules.warm_up_ms)?,
+                fall_multiple: rules.fall_multiple,
+                fall_after: time("Rules.TipAfterMs", rules.tip_after_ms)?,
+                ask_within: time("Rules.AskWithinMs", rules.ask_within_ms)?,
+                release_within: time("Extra.ReleaseWithinMs", extra.release_within_ms)?,
+            },
+            prices: Prices {
+                probe: prices.probe,
+                cross_zone: prices.cross_zone,
+                cross_cell: extra.cross_cell_price,
+                waste: prices.waste,
+                late_fail: prices.late_fail,
+            },
+            reports: match self.report.source.as_str() {
+                "answers" => ReportSource::Answers,
+                "probe" => ReportSource::Probes,
+                "none" => ReportSource::Nowhere,
+                _ => return fault("Info Report.Source", "none of answers, probe and none"),
+            },
+            discovery: match self.discovery.as_str() {
+                "pushed" => Discovery::Pushed,
+                "on_request" => Discovery::OnRequest,
+                _ => return fault("Info Discovery", "neither pushed nor on_request"),
+            },
+        };
+        Ok(settings)
+    }
+
+    /// What holds for connections: 15 s and 250 ms where the settings don't say.
+    pub fn links(&self) -> Parsed<Links> {
+        Ok(Links {
+            idle: time("Limits.ConnIdleMs", self.limits.conn_idle_ms.unwrap_or(15_000.0))?,
+            connect: time("Limits.ConnectTimeoutMs", self.limits.connect_timeout_ms.unwrap_or(250.0))?,
+        })
+    }
+
+    /// The names by which events are mapped.
+    pub fn names(self) -> Names {
+        let report = (self.report.fields.iter())
+            .map(|field| match field.as_str() {
+                "mean_ms" => ReportField::Latency,
+                "x0" => ReportField::MemoryShare,
+                "x1" => ReportField::WaitingThousands,
+                _ => ReportField::Unused,
+            })
+            .collect();
+        Names {
+            classes: self.classes.into_iter().map(|c| c.name).collect(),
+            tenants: self.tenants.into_iter().map(|t| t.name).collect(),
+            zones: self.zones,
+            kinds: self.models,
+            report,
+        }
+    }
+}
+
+impl InfoClass {
+    fn effect(&self) -> Parsed<Effect> {
+        Ok(match (self.repeat.as_str(), self.key_scope.as_str()) {
+            ("retryable", _) => Effect::Safe,
+            ("fragile", _) => Effect::Unsafe,
+            ("dedup", "all") => Effect::Keyed(KeyGroup::All),
+            ("dedup", "zone") => Effect::Keyed(KeyGroup::Zone),
+            ("dedup", "cell") => Effect::Keyed(KeyGroup::Cell),
+            ("dedup", _) => return fault("Info Classes.KeyScope", "none of all, zone and cell"),
+            _ => return fault("Info Classes.Repeat", "none of retryable, dedup and fragile"),
+        })
+    }
+}
--- /dev/null
+++ b/src/routing/core.rs
@@ -0,0 +1,490 @@
+//! Carries the router's actions from one event to the next. It decides nothing: who is sent what, when to
+//! give up and what to refuse comes out of [`crate::choice`].
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::choice::Router;
+use crate::interface::*;
+
+/// A read that did not end cleanly may still have left a state: it is let go once more after this, when the
+/// server has surely seen its connection close.
+const RELEASE_AGAIN: Micros = 100_000;
+
+/// One router and the servers it chooses among: those of the platform, or the tool servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolId(pub u8);
+
+/// A request as a front hands it in.
+#[derive(Clone, Copy, Debug)]
+pub struct Admission {
+    /// Whose router decides.
+    pub pool: PoolId,
+    /// The request; when it expires is filled in here.
+    pub request: Request,
+    /// How long its client waits.
+    pub time_left: Micros,
+}
+
+/// What the transport reports.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request has come in.
+    Request(Admission),
+    /// News of a pool's list.
+    List(PoolId, ListUpdate),
+    /// The first event of an attempt's answer is here.
+    Started(RequestId, u32),
+    /// An attempt has ended.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// How.
+        outcome: Outcome,
+        /// Prompt tokens found kept.
+        kept_tokens: u64,
+        /// The load report that came along.
+        report: Option<Report>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// Whose server.
+        pool: PoolId,
+        /// The server.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// How long it took.
+        took: Micros,
+        /// What it told.
+        report: Option<Report>,
+    },
+    /// A place asked for ahead is held, or not.
+    Place(RequestId, ServerId, bool),
+    /// The client has left.
+    Gone(RequestId),
+}
+
+/// What the transport is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send an attempt; its end is owed as [`Input::Ended`].
+    Send {
+        /// Whose server.
+        pool: PoolId,
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// Where to.
+        server: ServerId,
+        /// How long the wait may last.
+        time_left: Micros,
+    },
+    /// Close an attempt's connection and report its end.
+    Cancel {
+        /// Whose server.
+        pool: PoolId,
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// Where it went.
+        server: ServerId,
+    },
+    /// The attempt's answer is the client's.
+    Relay(RequestId, u32),
+    /// Final answer: refused, and when to come back.
+    Refuse(RequestId, Option<Micros>),
+    /// Final answer: failed.
+    Fail {
+        /// The request.
+        request: RequestId,
+        /// It may have run somewhere.
+        may_have_run: bool,
+        /// Its time was over.
+        overdue: bool,
+    },
+    /// Let go of all that is held for the request; the servers that may hold it, the likeliest first.
+    Release(PoolId, RequestId, Vec<ServerId>),
+    /// Hold a place.
+    Hold(PoolId, RequestId, ServerId),
+    /// Probe a server.
+    Probe(PoolId, ServerId),
+    /// Close idle connections to a server.
+    CloseIdle(PoolId, ServerId),
+    /// Ask for a whole list.
+    FetchList(PoolId),
+    /// A line for the operators.
+    Log(String),
+    /// Nothing more will be said of the request.
+    Forget(RequestId),
+}
+
+/// What has been taken in, sent and answered since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests taken in.
+    pub taken: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Requests answered by a server, to the end.
+    pub served: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Answers that broke off after their start.
+    pub broken: u64,
+    /// Requests whose client left first.
+    pub gone: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Requests open now.
+    pub open: u64,
+}
+
+impl std::fmt::Display for Totals {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Totals { taken, sent, served, refused, failed, broken, gone, probes, open } = self;
+        write!(f, "taken {taken}, sent {sent}, served {served}, refused {refused}, failed {failed}, ")?;
+        write!(f, "broken {broken}, gone {gone}, probes {probes}, open {open}")
+    }
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    reads: bool,
+    ended: Option<Outcome>,
+    timed_out: bool,
+    cancelled: bool,
+}
+
+struct Open {
+    pool: PoolId,
+    expires: Micros,
+    attempts: Vec<Attempt>,
+    owner: Option<u32>,
+    over: bool,
+    letting_go: bool,
+}
+
+impl Open {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.ended.is_none())
+    }
+}
+
+enum Due {
+    Router(PoolId, TimerId),
+    GiveUp(RequestId, u32),
+    Release(PoolId, RequestId, Vec<ServerId>),
+}
+
+struct Pool {
+    router: Router,
+    settings: Settings,
+    kinds: BTreeMap<ServerId, KindId>,
+}
+
+/// See the module's text.
+#[derive(Default)]
+pub struct Core {
+    pools: Vec<Pool>,
+    open: HashMap<RequestId, Open>,
+    due: BTreeMap<(Micros, u64), Due>,
+    timers: u64,
+    totals: Totals,
+}
+
+impl Core {
+    /// Adds a router; its requests and servers are named by the id that is returned.
+    pub fn add_pool(&mut self, settings: Settings, seed: u64, now: Micros) -> Result<PoolId, SettingsError> {
+        let router = Router::new(settings.clone(), seed, now)?;
+        self.pools.push(Pool { router, settings, kinds: BTreeMap::new() });
+        Ok(PoolId(self.pools.len() as u8 - 1))
+    }
+
+    /// When [`Core::tick`] is next due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.keys().next().map(|(at, _)| *at)
+    }
+
+    /// The counters.
+    pub fn totals(&self) -> Totals {
+        Totals { open: self.open.values().filter(|o| !o.over).count() as u64, ..self.totals }
+    }
+
+    /// Runs the timers that are due.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some(first) = self.due.first_entry().filter(|e| e.key().0 <= now) {
+            match first.remove() {
+                Due::Router(pool, timer) => self.drive(now, pool, Event::Timer(timer), out),
+                Due::GiveUp(id, attempt) => {
+                    let Some(open) = self.open.get_mut(&id) else { continue };
+                    let started = open.owner == Some(attempt);
+                    let Some(a) = open.attempts.get_mut(attempt as usize) else { continue };
+                    if a.ended.is_none() && !started && !a.cancelled {
+                        (a.timed_out, a.cancelled) = (true, true);
+                        let (pool, server) = (open.pool, a.server);
+                        out.push(Output::Cancel { pool, request: id, attempt, server });
+                    }
+                }
+                Due::Release(pool, id, holders) => {
+                    out.push(Output::Release(pool, id, holders));
+                    if let Some(open) = self.open.get_mut(&id) {
+                        open.letting_go = false;
+                    }
+                    self.forget(id, out);
+                }
+            }
+        }
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Request(admission) => self.on_request(now, admission, out),
+            Input::List(pool, update) => {
+                let Some(known) = self.pools.get_mut(usize::from(pool.0)) else { return };
+                known.kinds.extend(update.entries.iter().map(|e| (e.id, e.kind)));
+                self.drive(now, pool, Event::List(update), out);
+            }
+            Input::Started(id, attempt) => self.on_started(now, id, attempt, out),
+            Input::Ended { request, attempt, outcome, kept_tokens, report } => {
+                self.on_ended(now, request, attempt, (outcome, kept_tokens, report), out);
+            }
+            Input::Probed { pool, server, outcome, took, report } => {
+                self.drive(now, pool, Event::Probed { server, outcome, took, report }, out);
+            }
+            Input::Place(request, server, held) => {
+                if let Some(pool) = self.open.get(&request).map(|open| open.pool) {
+                    self.drive(now, pool, Event::Place { request, server, held }, out);
+                }
+            }
+            Input::Gone(id) => {
+                let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) else { return };
+                let pool = open.pool;
+                open.over = true;
+                self.totals.gone += 1;
+                self.drive(now, pool, Event::Gone(id), out);
+            }
+        }
+    }
+
+    fn on_request(&mut self, now: Micros, admission: Admission, out: &mut Vec<Output>) {
+        let Admission { pool, mut request, time_left } = admission;
+        request.expires = now.saturating_add(time_left);
+        let (id, expires) = (request.id, request.expires);
+        let open = Open { pool, expires, attempts: Vec::new(), owner: None, over: false, letting_go: false };
+        self.open.insert(id, open);
+        self.totals.taken += 1;
+        self.drive(now, pool, Event::Request(request), out);
+    }
+
+    fn on_started(&mut self, now: Micros, id: RequestId, attempt: u32, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let (pool, owned) = (open.pool, open.over || open.owner.is_some());
+        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.ended.is_none()) else { return };
+        let server = a.server;
+        if owned || a.cancelled {
+            // The client has its answer already: a second one must not reach it.
+            if !std::mem::replace(&mut a.cancelled, true) {
+                out.push(Output::Cancel { pool, request: id, attempt, server });
+            }
+            return;
+        }
+        let took = now.saturating_sub(a.sent);
+        open.owner = Some(attempt);
+        out.push(Output::Relay(id, attempt));
+        self.drive(now, pool, Event::Started { request: id, attempt, server, took }, out);
+    }
+
+    fn on_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        (mut outcome, kept_tokens, report): (Outcome, u64, Option<Report>),
+        out: &mut Vec<Output>,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let owned = open.owner == Some(attempt);
+        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.ended.is_none()) else { return };
+        if a.timed_out && outcome == Outcome::Cancelled {
+            outcome = Outcome::TimedOut;
+        }
+        a.ended = Some(outcome);
+        if owned && !open.over {
+            open.over = true;
+            let count =
+                if outcome == Outcome::Served { &mut self.totals.served } else { &mut self.totals.broken };
+            *count += 1;
+        }
+        let (pool, server, took) = (open.pool, a.server, now.saturating_sub(a.sent));
+        let settled = open.over;
+        let ended = Ended { request: id, attempt, server, outcome, kept_tokens, settled, took, report };
+        self.drive(now, pool, Event::Ended(ended), out);
+    }
+
+    /// Forgets a request once its answer is given and its last attempt has ended.
+    fn forget(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        if self.open.get(&id).is_some_and(|open| open.over && !open.out() && !open.letting_go) {
+            self.open.remove(&id);
+            out.push(Output::Forget(id));
+        }
+    }
+
+    /// Feeds an event to a pool's router and carries out its actions, and what follows from them.
+    fn drive(&mut self, now: Micros, pool: PoolId, event: Event, out: &mut Vec<Output>) {
+        let (mut events, mut actions) = (VecDeque::from([event]), Vec::new());
+        let mut touched = Vec::new();
+        while let Some(event) = events.pop_front() {
+            let Some(known) = self.pools.get_mut(usize::from(pool.0)) else { return };
+            touched.extend(match &event {
+                Event::Ended(ended) => Some(ended.request),
+                Event::Gone(id) => Some(*id),
+                _ => None,
+            });
+            known.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                if let Action::Refuse { request: id, .. } | Action::Fail(id) = action {
+                    touched.push(id);
+                }
+                events.extend(self.carry_out(now, pool, action, out));
+            }
+        }
+        // Only now: a release may follow the answer, and needs the request still to be known.
+        for id in touched {
+            self.forget(id, out);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Micros,
+        pool: PoolId,
+        action: Action,
+        out: &mut Vec<Output>,
+    ) -> Option<Event> {
+        match action {
+            Action::Send { request, server, timeout } => {
+                return self.send(now, pool, (request, server, timeout), out);
+            }
+            Action::Cancel { request, attempt } => {
+                let open = self.open.get_mut(&request)?;
+                let started = open.owner == Some(attempt);
+                let a = open.attempts.get_mut(attempt as usize).filter(|a| a.ended.is_none() && !started)?;
+                if !std::mem::replace(&mut a.cancelled, true) {
+                    out.push(Output::Cancel { pool, request, attempt, server: a.server });
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                self.close(request)?;
+                self.totals.refused += 1;
+                out.push(Output::Refuse(request, retry_after));
+            }
+            Action::Fail(request) => {
+                let open = self.close(request)?;
+                let ran = |a: &Attempt| !a.reads && !a.ended.is_some_and(Outcome::never_ran);
+                let may_have_run = open.attempts.iter().any(ran);
+                let step = self.pools.get(usize::from(pool.0)).map_or(0, |p| p.settings.step);
+                let overdue = now + step >= self.open.get(&request)?.expires;
+                self.totals.failed += 1;
+                out.push(Output::Fail { request, may_have_run, overdue });
+            }
+            Action::Move(request) => {
+                let open = self.open.get_mut(&request).filter(|open| open.owner.is_some() && !open.over)?;
+                open.over = true;
+                self.totals.broken += 1;
+                // Closing the attempt breaks the client's stream off.
+                let attempt = open.owner?;
+                let a = open.attempts.get_mut(attempt as usize)?;
+                a.cancelled = true;
+                out.push(Output::Cancel { pool, request, attempt, server: a.server });
+            }
+            Action::Release(request) => self.release(now, pool, request, out),
+            Action::HoldPlace { request, server } => out.push(Output::Hold(pool, request, server)),
+            Action::SetTimer { at, timer } => self.wake(at, Due::Router(pool, timer)),
+            Action::Probe(server) => {
+                self.totals.probes += 1;
+                out.push(Output::Probe(pool, server));
+            }
+            Action::CloseIdle(server) => out.push(Output::CloseIdle(pool, server)),
+            // The list's actor always watches; the whole list is only asked for by name.
+            Action::Watch(_) => {}
+            Action::FetchList => out.push(Output::FetchList(pool)),
+            // Conductors of this platform share nothing.
+            Action::Tell { .. } => {}
+            Action::Log(text) => out.push(Output::Log(text)),
+        }
+        None
+    }
+
+    fn wake(&mut self, at: Micros, due: Due) {
+        self.timers += 1;
+        self.due.insert((at, self.timers), due);
+    }
+
+    /// Marks a request as answered; nothing comes back if it was so before, so that no answer goes out twice.
+    fn close(&mut self, id: RequestId) -> Option<&Open> {
+        let open = self.open.get_mut(&id).filter(|open| !open.over && open.owner.is_none())?;
+        open.over = true;
+        Some(open)
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        pool: PoolId,
+        (request, server, timeout): (RequestId, ServerId, Option<Micros>),
+        out: &mut Vec<Output>,
+    ) -> Option<Event> {
+        let known = self.pools.get(usize::from(pool.0))?;
+        let kind = known.kinds.get(&server).and_then(|k| known.settings.kinds.get(usize::from(k.0)));
+        let reads = kind.is_some_and(|kind| kind.role == Role::Reader);
+        let most = known.settings.limits.attempts as usize;
+        let open = self.open.get_mut(&request)?;
+        let attempt = open.attempts.len() as u32;
+        let give_up = timeout.map_or(open.expires, |t| open.expires.min(now.saturating_add(t)));
+        // Guards the rules against a send that must not go out: too many, too late, or after the answer.
+        let moot = open.over || open.owner.is_some() || open.attempts.len() >= most || give_up <= now;
+        let ended = moot.then_some(Outcome::NotSent);
+        open.attempts.push(Attempt { server, sent: now, reads, ended, timed_out: false, cancelled: false });
+        if moot {
+            return Some(Event::Ended(Ended {
+                request,
+                attempt,
+                server,
+                outcome: Outcome::NotSent,
+                kept_tokens: 0,
+                settled: open.over,
+                took: 0,
+                report: None,
+            }));
+        }
+        self.totals.sent += 1;
+        out.push(Output::Send { pool, request, attempt, server, time_left: give_up - now });
+        self.wake(give_up, Due::GiveUp(request, attempt));
+        None
+    }
+
+    fn release(&mut self, now: Micros, pool: PoolId, id: RequestId, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let readers = || open.attempts.iter().rev().filter(|a| a.reads);
+        let clean = |a: &&Attempt| a.ended == Some(Outcome::Read);
+        let mut holders: Vec<ServerId> = readers().filter(clean).map(|a| a.server).collect();
+        holders.extend(readers().filter(|a| !clean(a)).map(|a| a.server));
+        if holders.is_empty() {
+            return;
+        }
+        // A read may have ended well just as its connection was closed: its state must not stay pinned.
+        if open.over && readers().any(|a| !clean(&a)) && !open.letting_go {
+            open.letting_go = true;
+            self.wake(now + RELEASE_AGAIN, Due::Release(pool, id, holders.clone()));
+        }
+        out.push(Output::Release(pool, id, holders));
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,6 @@
+//! The core: it owns the routers, the open requests, their attempts and the timers, and knows no wire. An
+//! event and the time go in, outputs come out, in one synchronous call; the fronts and the plug-in share it.
+
+mod core;
+
+pub use self::core::{Admission, Core, Input, Output, PoolId, Totals};
--- /dev/null
+++ b/src/transport/clock.rs
@@ -0,0 +1,53 @@
+//! The event clock: whole microseconds on the monotonic clock.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::interface::Micros;
+
+/// The clock's reading at the program's start, so that servers which started earlier have a time on it too.
+const AT_START: Micros = 3_600_000_000;
+
+/// Maps the monotonic clock, and once, at the start, Unix time to event time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_at_start: f64,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_at_start: unix.as_micros() as f64 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        AT_START + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// The instant at an event time.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + std::time::Duration::from_micros(at.saturating_sub(AT_START))
+    }
+
+    /// The event time of a Unix time in milliseconds; none if that is long ago or no time at all.
+    pub fn at_unix_ms(&self, ms: f64) -> Option<Micros> {
+        let at = ms * 1000.0 - self.unix_at_start + AT_START as f64;
+        (ms > 0.0 && at >= 1.0).then_some(at as Micros)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_start_is_mapped_once_and_long_ago_is_none() {
+        let clock = Clock { start: Instant::now(), unix_at_start: 5e15 };
+        assert_eq!(clock.at_unix_ms(5e12), Some(AT_START));
+        assert_eq!(clock.at_unix_ms(5e12 - 2_000.0), Some(AT_START - 2_000_000));
+        assert_eq!(clock.at_unix_ms(0.0), None);
+        assert_eq!(clock.at_unix_ms(5e12 - 3_600_001.0), None);
+    }
+}
--- /dev/null
+++ b/src/transport/connector.rs
@@ -0,0 +1,201 @@
+//! Connections to peers for hyper-util's client, and what is known of the bytes written to them.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Uri;
+use http_body::{Body, Frame, SizeHint};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection, capture_connection};
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::protocol::settings::Links;
+
+/// Part of a server's idle limit after which a connection is no longer used: past the limit a request
+/// written to it would end as a reset.
+const IDLE_PART: f64 = 0.6;
+/// The most idle connections that are kept for one peer.
+const MOST_IDLE: usize = 64;
+
+/// The client for peers. It never sends anything again by itself.
+pub type PeerClient = Client<Connector, Tracked>;
+
+/// Makes a client.
+pub fn client(links: Links, permits: Arc<Semaphore>) -> PeerClient {
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_idle_timeout(Duration::from_micros((links.idle as f64 * IDLE_PART) as u64))
+        .pool_max_idle_per_host(MOST_IDLE)
+        .pool_timer(TokioTimer::new())
+        .timer(TokioTimer::new())
+        .build(Connector { within: Duration::from_micros(links.connect), permits })
+}
+
+/// Opens connections within the time that the settings give and the descriptors that the budget has.
+#[derive(Clone)]
+pub struct Connector {
+    within: Duration,
+    permits: Arc<Semaphore>,
+}
+
+impl tower::Service<Uri> for Connector {
+    type Response = Link;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Link>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, to: Uri) -> Self::Future {
+        let (within, permits) = (self.within, self.permits.clone());
+        Box::pin(async move {
+            let permit = permits.try_acquire_owned().map_err(io::Error::other)?;
+            let authority = to.authority().ok_or_else(|| io::Error::other("no address"))?;
+            let stream = tokio::time::timeout(within, TcpStream::connect(authority.as_str())).await??;
+            stream.set_nodelay(true)?;
+            Ok(Link { io: TokioIo::new(stream), progress: Arc::default(), _permit: permit })
+        })
+    }
+}
+
+/// How far the request that is on a connection has got.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The body's last byte is in the connection's buffer.
+    handed_over: AtomicBool,
+    /// Since then, all that was buffered has been written.
+    written: AtomicBool,
+}
+
+/// A connection to a peer.
+pub struct Link {
+    io: TokioIo<TcpStream>,
+    progress: Arc<Progress>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection for Link {
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.progress.clone())
+    }
+}
+
+impl Read for Link {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl Write for Link {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    /// hyper flushes the socket only once its own buffer is empty.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.handed_over.load(Ordering::Relaxed) {
+            self.progress.written.store(true, Ordering::Relaxed);
+        }
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
+/// A body that marks on its connection when it has been handed over.
+pub struct Tracked {
+    body: Option<Bytes>,
+    link: Option<CaptureConnection>,
+    asked: Arc<AtomicBool>,
+}
+
+impl Tracked {
+    /// An empty body, whose fate does not matter.
+    pub fn empty() -> Self {
+        Tracked { body: None, link: None, asked: Arc::default() }
+    }
+
+    /// Gives a request its body, and what will tell its fate.
+    pub fn attach(mut head: http::Request<()>, body: Bytes) -> (http::Request<Tracked>, Fate) {
+        let link = capture_connection(&mut head);
+        // An empty body is never asked for: what was last seen of the connection counts then.
+        let asked = Arc::new(AtomicBool::new(body.is_empty()));
+        let body = Tracked { body: Some(body), link: Some(link.clone()), asked: asked.clone() };
+        (head.map(|()| body), Fate { link, asked })
+    }
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let Some(body) = self.body.take() else { return Poll::Ready(None) };
+        self.asked.store(true, Ordering::Relaxed);
+        if let Some(progress) = self.link.as_ref().and_then(progress) {
+            progress.written.store(false, Ordering::Relaxed);
+            progress.handed_over.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(Some(Ok(Frame::data(body))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.body.as_ref().map_or(0, |body| body.len() as u64))
+    }
+}
+
+fn progress(link: &CaptureConnection) -> Option<Arc<Progress>> {
+    let mut extras = http::Extensions::new();
+    link.connection_metadata().as_ref()?.get_extras(&mut extras);
+    extras.get::<Arc<Progress>>().cloned()
+}
+
+/// Tells how far a request got once it has failed.
+pub struct Fate {
+    link: CaptureConnection,
+    asked: Arc<AtomicBool>,
+}
+
+impl Fate {
+    /// Whether the last byte of the request was written before this error: only then may it have run.
+    pub fn may_have_run(&self, error: &Error) -> bool {
+        !error.is_connect()
+            && self.asked.load(Ordering::Relaxed)
+            && progress(&self.link).is_some_and(|progress| progress.written.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/src/transport/list.rs
@@ -0,0 +1,121 @@
+//! The actor of the list: it watches discovery without a pause and hands on what that tells.
+
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use thiserror::Error;
+use tokio::sync::{mpsc, watch};
+
+use super::clock::Clock;
+use super::connector::{PeerClient, Tracked};
+use super::hub::{Hub, Message};
+use crate::interface::*;
+use crate::protocol::platform::List;
+use crate::protocol::settings::Names;
+use crate::routing::PoolId;
+
+/// How long a watch may wait. A short one is soon missed where discovery has gone silent.
+const HOLD: Duration = Duration::from_millis(2_000);
+/// An answer that is this late does not come any more.
+const MARGIN: Duration = Duration::from_millis(1_000);
+/// Pause after a failure: the next call must come within 200 ms for the watch to go on.
+const PAUSE: Duration = Duration::from_millis(50);
+/// The largest list.
+const MOST_LIST: usize = 4 * 1024 * 1024;
+
+/// Watches one pool's list.
+pub struct Watcher {
+    /// Whose list.
+    pub pool: PoolId,
+    /// Where discovery listens.
+    pub address: String,
+    /// The client.
+    pub client: PeerClient,
+    /// Where news goes.
+    pub hub: Hub,
+    /// The names of the settings.
+    pub names: Names,
+    /// The clock, for when servers started.
+    pub clock: Clock,
+}
+
+#[derive(Debug, Error)]
+enum ListError {
+    #[error("the address is no address")]
+    Address,
+    #[error("no answer: {0}")]
+    Call(#[from] hyper_util::client::legacy::Error),
+    #[error("the answer broke off")]
+    Body(#[from] Box<dyn std::error::Error + Send + Sync>),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("no list: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("no answer in time")]
+    Late(#[from] tokio::time::error::Elapsed),
+}
+
+impl Watcher {
+    /// Hands on the list as it was known at the start, perhaps old.
+    pub async fn known(&self, list: &List) {
+        self.tell(list, ListScope::Cached).await;
+    }
+
+    /// Watches for as long as the program runs; `heard` becomes true with the first answer.
+    pub async fn run(self, mut fetch: mpsc::Receiver<PoolId>, heard: watch::Sender<bool>) {
+        let mut revision = None;
+        loop {
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(HOLD + MARGIN, self.ask(revision)) => answer,
+                Some(_) = fetch.recv() => {
+                    revision = None;
+                    continue;
+                }
+            };
+            match answer.map_err(ListError::from).and_then(|list| list) {
+                // A list that has gone back, and does not come whole, is one of a restarted discovery.
+                Ok(list) if !list.complete && revision.is_none_or(|seen| list.revision < seen) => {
+                    revision = None;
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Ok(list) => {
+                    revision = Some(list.revision);
+                    let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
+                    if list.complete || !list.members.is_empty() {
+                        self.tell(&list, scope).await;
+                    }
+                    heard.send_replace(true);
+                }
+                Err(error) => {
+                    eprintln!("discovery: {error}");
+                    if !matches!(error, ListError::Call(_) | ListError::Body(_) | ListError::Late(_)) {
+                        revision = None;
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn ask(&self, after: Option<u64>) -> Result<List, ListError> {
+        let query = after.map(|rev| format!("?from={rev}&hold_ms={}", HOLD.as_millis())).unwrap_or_default();
+        let mut request = Request::new(Tracked::empty());
+        *request.uri_mut() = format!("http://{}/discovery/hosts{query}", self.address)
+            .parse()
+            .map_err(|_| ListError::Address)?;
+        let response = self.client.request(request).await?;
+        if response.status() != StatusCode::OK {
+            return Err(ListError::Status(response.status()));
+        }
+        let body = Limited::new(response.into_body(), MOST_LIST).collect().await?.to_bytes();
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    async fn tell(&self, list: &List, scope: ListScope) {
+        let started = |ms| self.clock.at_unix_ms(ms);
+        let entries = list.members.iter().filter_map(|member| member.entry(&self.names, started)).collect();
+        let addresses = list.members.iter().map(|m| (m.server(), m.host_port.clone())).collect();
+        self.hub.send(Message::List(self.pool, ListUpdate { scope, entries }, addresses)).await;
+    }
+}
--- /dev/null
+++ b/src/transport/peer.rs
@@ -0,0 +1,315 @@
+//! The actor of one peer: it opens and closes the connections to it, carries attempts, probes and leases,
+//! and reports how each ended.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+use super::connector::{PeerClient, Tracked};
+use super::hub::{Body, Hub, Message, Part, Payload};
+use crate::interface::*;
+use crate::protocol::platform::{self, Tail};
+use crate::protocol::settings::{Links, ReportField};
+use crate::routing::{Input, PoolId};
+
+/// Messages that may wait for a peer.
+const MAILBOX: usize = 1024;
+/// Parts of an answer that may wait for their client.
+const PARTS_AHEAD: usize = 32;
+/// The most of a short answer that is read.
+const MOST_REPLY: usize = 64 * 1024;
+/// A call that lets go of a state is given up after this, so that another server can still be asked in time.
+const LET_GO_WITHIN: Duration = Duration::from_millis(80);
+
+/// What a peer is asked to do.
+pub enum ToPeer {
+    /// Send an attempt.
+    Send(Attempt),
+    /// Close the connection of an attempt.
+    Cancel(RequestId, u32),
+    /// Probe.
+    Probe,
+    /// Let go of what is held under this id; whether the call went through comes back.
+    LetGo(String, oneshot::Sender<bool>),
+    /// Hold a place under this id.
+    Hold(RequestId, String),
+    /// Close idle connections.
+    CloseIdle,
+    /// It listens at another address now.
+    Moved(String),
+}
+
+/// One attempt.
+pub struct Attempt {
+    /// The request.
+    pub request: RequestId,
+    /// Its number.
+    pub number: u32,
+    /// What is sent.
+    pub payload: Arc<Payload>,
+    /// How long the wait may last.
+    pub time_left: Micros,
+}
+
+/// What all peers of a pool share.
+#[derive(Clone)]
+pub struct Common {
+    /// Whose servers they are.
+    pub pool: PoolId,
+    /// Where outcomes go.
+    pub hub: Hub,
+    /// The client.
+    pub client: PeerClient,
+    /// What holds for connections.
+    pub links: Links,
+    /// The fields of load reports.
+    pub fields: Arc<[ReportField]>,
+}
+
+/// Starts the actor of a peer.
+pub fn start(common: Common, server: ServerId, address: String) -> mpsc::Sender<ToPeer> {
+    let (sender, inbox) = mpsc::channel(MAILBOX);
+    tokio::spawn(run(Peer { common, server, address }, inbox));
+    sender
+}
+
+#[derive(Clone)]
+struct Peer {
+    common: Common,
+    server: ServerId,
+    address: String,
+}
+
+async fn run(mut peer: Peer, mut inbox: mpsc::Receiver<ToPeer>) {
+    let mut calls = JoinSet::new();
+    let mut cancels: HashMap<(RequestId, u32), oneshot::Sender<()>> = HashMap::new();
+    loop {
+        let message = tokio::select! {
+            message = inbox.recv() => message,
+            Some(ended) = calls.join_next() => {
+                if let Ok(Some(key)) = ended {
+                    cancels.remove(&key);
+                }
+                continue;
+            }
+        };
+        let one = peer.clone();
+        match message {
+            Some(ToPeer::Send(attempt)) => {
+                let key = (attempt.request, attempt.number);
+                let (cancel, cancelled) = oneshot::channel();
+                cancels.insert(key, cancel);
+                calls.spawn(async move {
+                    one.attempt(attempt, cancelled).await;
+                    Some(key)
+                });
+            }
+            Some(ToPeer::Cancel(request, number)) => {
+                // The call's end then reports; without an entry it has reported already.
+                if let Some(cancel) = cancels.remove(&(request, number)) {
+                    let _ = cancel.send(());
+                }
+            }
+            Some(ToPeer::Probe) => {
+                calls.spawn(async move {
+                    one.probe().await;
+                    None
+                });
+            }
+            Some(ToPeer::LetGo(id, done)) => {
+                calls.spawn(async move {
+                    let call = one.lease(Method::DELETE, &id);
+                    let went = tokio::time::timeout(LET_GO_WITHIN, call).await;
+                    let _ = done.send(went.is_ok_and(|status| status.is_some()));
+                    None
+                });
+            }
+            Some(ToPeer::Hold(request, id)) => {
+                calls.spawn(async move {
+                    if let Some(held) = one.lease(Method::POST, &id).await.and_then(place) {
+                        one.report(Input::Place(request, one.server, held)).await;
+                    }
+                    None
+                });
+            }
+            Some(ToPeer::CloseIdle) => {
+                let Common { links, ref hub, .. } = peer.common;
+                peer.common.client = super::connector::client(links, hub.budget().peers.clone());
+            }
+            Some(ToPeer::Moved(address)) => peer.address = address,
+            // The list has dropped the peer: what is out ends first.
+            None => break,
+        }
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+/// Whether a place is held, where the answer tells.
+fn place(status: StatusCode) -> Option<bool> {
+    match status.as_u16() {
+        200 => Some(true),
+        409 => Some(false),
+        _ => None,
+    }
+}
+
+/// How an attempt ended.
+struct End {
+    outcome: Outcome,
+    kept_tokens: u64,
+    load: Option<String>,
+}
+
+impl End {
+    fn of(outcome: Outcome) -> Self {
+        End { outcome, kept_tokens: 0, load: None }
+    }
+}
+
+fn load(headers: &HeaderMap) -> Option<String> {
+    headers.get(platform::LOAD).and_then(|value| value.to_str().ok()).map(str::to_string)
+}
+
+impl Peer {
+    async fn report(&self, input: Input) {
+        self.common.hub.send(Message::Input(input)).await;
+    }
+
+    async fn attempt(&self, attempt: Attempt, cancelled: oneshot::Receiver<()>) {
+        let (request, number) = (attempt.request, attempt.number);
+        // Leaving the call drops its connection, so that the server sees the end.
+        let end = match select(cancelled, Box::pin(self.call(attempt))).await {
+            Either::Left(_) => End::of(Outcome::Cancelled),
+            Either::Right((end, _)) => end,
+        };
+        let report = end.load.and_then(|text| platform::report(&text, &self.common.fields));
+        let End { outcome, kept_tokens, .. } = end;
+        self.report(Input::Ended { request, attempt: number, outcome, kept_tokens, report }).await;
+    }
+
+    async fn call(&self, attempt: Attempt) -> End {
+        let Attempt { request, number, payload, time_left } = attempt;
+        let mut head = Request::new(());
+        *head.method_mut() = payload.method.clone();
+        *head.headers_mut() = payload.headers.clone();
+        head.headers_mut().insert(platform::TIME_LEFT, (time_left / 1000).into());
+        let Some(head) = self.addressed(head, &payload.path) else {
+            return End::of(Outcome::ConnectFailed);
+        };
+        let (message, fate) = Tracked::attach(head, payload.body.clone());
+        drop(payload);
+        let response = match self.common.client.request(message).await {
+            Ok(response) => response,
+            // Before its last byte is written a request can't have run; after that it may have.
+            Err(error) if fate.may_have_run(&error) => return End::of(Outcome::Reset),
+            Err(_) => return End::of(Outcome::ConnectFailed),
+        };
+        if response.status() == StatusCode::OK {
+            return self.stream(request, number, response).await;
+        }
+        let (head, body) = response.into_parts();
+        let outcome = platform::outcome(head.status, &head.headers);
+        let kept_tokens = match http_body_util::Limited::new(body, MOST_REPLY).collect().await {
+            Ok(body) => platform::kept_tokens(&body.to_bytes()),
+            Err(_) if outcome == Outcome::Read => return End::of(Outcome::Reset),
+            Err(_) => 0,
+        };
+        End { outcome, kept_tokens, load: load(&head.headers) }
+    }
+
+    /// Passes on the events of an answer as they come, once the hub has made it the client's.
+    async fn stream(&self, request: RequestId, number: u32, response: Response<Incoming>) -> End {
+        let mut load = load(response.headers());
+        let kind = response.headers().get(CONTENT_TYPE).cloned();
+        let mut body = response.into_body();
+        let (parts, receiver) = mpsc::channel(PARTS_AHEAD);
+        let mut receiver = Some(receiver);
+        let mut tail = Tail::default();
+        loop {
+            // A client that has left closes the channel, and this call its connection.
+            let frame = tokio::select! {
+                biased;
+                () = parts.closed() => return End::of(Outcome::Cancelled),
+                frame = body.frame() => frame,
+            };
+            let part = match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(part) if !part.is_empty() => part,
+                    _ => continue,
+                },
+                Some(Err(_)) => return End::of(Outcome::Reset),
+                None if receiver.is_some() => return End::of(Outcome::Error),
+                None => break,
+            };
+            tail.feed(&part);
+            if parts.send(Part::Data(part)).await.is_err() {
+                return End::of(Outcome::Cancelled);
+            }
+            if let Some(parts) = receiver.take() {
+                let body = Body { kind: kind.clone(), parts };
+                self.common.hub.send(Message::Head { request, attempt: number, body }).await;
+            }
+        }
+        if parts.send(Part::End).await.is_err() {
+            return End::of(Outcome::Cancelled);
+        }
+        load = tail.load.or(load);
+        End { outcome: Outcome::Served, kept_tokens: tail.kept_tokens, load }
+    }
+
+    fn addressed<B>(&self, mut request: Request<B>, path: &str) -> Option<Request<B>> {
+        *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
+        request.headers_mut().insert(HOST, self.address.parse().ok()?);
+        Some(request)
+    }
+
+    async fn probe(&self) {
+        let began = tokio::time::Instant::now();
+        let within = Duration::from_micros(self.common.links.connect);
+        let (outcome, report) = match tokio::time::timeout(within, self.ask()).await {
+            Ok(answer) => answer,
+            Err(_) => (Outcome::TimedOut, None),
+        };
+        let (pool, server) = (self.common.pool, self.server);
+        let took = began.elapsed().as_micros() as Micros;
+        self.report(Input::Probed { pool, server, outcome, took, report }).await;
+    }
+
+    async fn ask(&self) -> (Outcome, Option<Report>) {
+        let Some(request) = self.addressed(Request::new(Tracked::empty()), "/metrics/load") else {
+            return (Outcome::ConnectFailed, None);
+        };
+        let response = match self.common.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return (Outcome::ConnectFailed, None),
+            Err(_) => return (Outcome::Reset, None),
+        };
+        let outcome = if response.status() == StatusCode::OK { Outcome::Served } else { Outcome::Error };
+        let header = load(response.headers());
+        let Ok(body) = http_body_util::Limited::new(response.into_body(), MOST_REPLY).collect().await else {
+            return (Outcome::Reset, None);
+        };
+        let body = body.to_bytes();
+        let text = std::str::from_utf8(&body).ok().filter(|text| !text.trim().is_empty());
+        let text = text.or(header.as_deref()).unwrap_or("");
+        (outcome, platform::report(text, &self.common.fields))
+    }
+
+    async fn lease(&self, method: Method, id: &str) -> Option<StatusCode> {
+        let mut request = self.addressed(Request::new(Tracked::empty()), &format!("/kv/leases/{id}"))?;
+        *request.method_mut() = method;
+        let response = self.common.client.request(request).await.ok()?;
+        let status = response.status();
+        // Reading the body to its end gives the connection back.
+        let _ = http_body_util::Limited::new(response.into_body(), MOST_REPLY).collect().await;
+        Some(status)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,11 +4,13 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 
-use serde::Deserialize;
 use thiserror::Error;
 
 use crate::choice::Router;
 use crate::interface::*;
+use crate::protocol::settings::{
+    Fault, Info, Names, Parsed, ReportField, digest, fault, index, micros, number,
+};
 
 /// Input that can't be taken, or output that can't be written.
 #[derive(Debug, Error)]
@@ -28,18 +30,6 @@
     Io(#[from] std::io::Error),
 }
 
-/// What is wrong with a field; the line number is added where the line is read.
-struct Fault {
-    field: String,
-    problem: String,
-}
-
-type Parsed<T> = Result<T, Fault>;
-
-fn fault<T>(field: &str, problem: impl Into<String>) -> Parsed<T> {
-    Err(Fault { field: field.to_string(), problem: problem.into() })
-}
-
 /// One line, taken apart.
 struct Message<'a> {
     name: &'a str,
@@ -153,269 +143,10 @@
     }
 }
 
-fn number(field: &str, text: &str) -> Parsed<f64> {
-    match text.parse::<f64>() {
-        Ok(value) if value.is_finite() => Ok(value),
-        _ => fault(field, "not a number"),
-    }
-}
-
-/// Milliseconds, perhaps fractional, as whole microseconds.
-fn micros(field: &str, ms: f64) -> Parsed<Micros> {
-    let us = (ms * 1000.0).round();
-    if (0.0..9.0e18).contains(&us) { Ok(us as Micros) } else { fault(field, "not a time in range") }
-}
-
 fn ms(us: Micros) -> String {
     format!("{}.{:03}", us / 1000, us % 1000)
 }
 
-/// A digest that is the same in every process (FNV-1a).
-fn digest(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-#[derive(Clone, Copy)]
-enum ReportField {
-    Latency,
-    MemoryShare,
-    WaitingThousands,
-    Unused,
-}
-
-/// The names of one instance's settings, by which its events are mapped.
-struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    report: Vec<ReportField>,
-}
-
-fn index(field: &str, names: &[String], name: &str) -> Parsed<u16> {
-    match names.iter().position(|n| n == name).and_then(|i| u16::try_from(i).ok()) {
-        Some(i) => Ok(i),
-        None => fault(field, format!("'{name}' is not among the settings")),
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Info {
-    az: String,
-    classes: Vec<InfoClass>,
-    discovery: String,
-    extra: InfoExtra,
-    limits: InfoLimits,
-    models: Vec<String>,
-    over_share_worth: f64,
-    prices: InfoPrices,
-    replicas_of_me: u32,
-    report: InfoReport,
-    rules: InfoRules,
-    step_ms: f64,
-    tenants: Vec<InfoTenant>,
-    zones: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoClass {
-    aim_ms: f64,
-    deadline_ms: f64,
-    dedup_window_ms: f64,
-    key_scope: String,
-    late_value: f64,
-    name: String,
-    points: f64,
-    repeat: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoExtra {
-    aim_us_per1000_prompt_tokens: Vec<f64>,
-    cross_cell_price: f64,
-    early_pairing: bool,
-    kind_role: Vec<String>,
-    kv_tokens: Vec<f64>,
-    release_within_ms: f64,
-    resume: bool,
-    self_prefill: bool,
-    token_aim_ms: Vec<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoLimits {
-    max_retry_after_ms: f64,
-    may_cancel: bool,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-    send_cap: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoPrices {
-    cross_zone: f64,
-    late_fail: f64,
-    probe: f64,
-    waste: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoReport {
-    fields: Vec<String>,
-    source: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoRules {
-    answer_slack_ms: f64,
-    ask_within_ms: f64,
-    cold_from: f64,
-    drain_grace_ms: f64,
-    fall_multiple: f64,
-    tip_after_ms: f64,
-    warm_up_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct InfoTenant {
-    name: String,
-    quota_per_s: f64,
-    share: f64,
-}
-
-fn time(key: &str, ms: f64) -> Parsed<Micros> {
-    micros(&format!("Info {key}"), ms)
-}
-
-impl Info {
-    fn settings(&self) -> Parsed<Settings> {
-        let per = |key: &str, values: &[f64], at: usize| match values.get(at) {
-            Some(value) => Ok(*value),
-            None => fault(&format!("Info {key}"), "has too few entries"),
-        };
-        let extra = &self.extra;
-        let mut kinds = Vec::new();
-        for (at, _) in self.models.iter().enumerate() {
-            let role = match extra.kind_role.get(at).map(String::as_str) {
-                Some("read") => Role::Reader,
-                Some("write") => Role::Writer,
-                Some("both") => Role::Mixed,
-                Some(_) => return fault("Info Extra.KindRole", "none of read, write and both"),
-                None => return fault("Info Extra.KindRole", "has too few entries"),
-            };
-            let memory_tokens = per("Extra.KvTokens", &extra.kv_tokens, at)? as u64;
-            kinds.push(Kind { role, memory_tokens });
-        }
-        let mut classes = Vec::new();
-        for (at, class) in self.classes.iter().enumerate() {
-            let per_1000 = per("Extra.AimUsPer1000PromptTokens", &extra.aim_us_per1000_prompt_tokens, at)?;
-            classes.push(Class {
-                aim: time("Classes.AimMs", class.aim_ms)?,
-                aim_per_1000_tokens: time("Extra.AimUsPer1000PromptTokens", per_1000 / 1000.0)?,
-                deadline: time("Classes.DeadlineMs", class.deadline_ms)?,
-                token_aim: time("Extra.TokenAimMs", per("Extra.TokenAimMs", &extra.token_aim_ms, at)?)?,
-                worth: class.points,
-                late_worth: class.late_value,
-                effect: class.effect()?,
-                key_window: time("Classes.DedupWindowMs", class.dedup_window_ms)?,
-            });
-        }
-        let (limits, rules, prices) = (&self.limits, &self.rules, &self.prices);
-        let settings = Settings {
-            zone: ZoneId(index("Info Az", &self.zones, &self.az)?),
-            dispatchers: self.replicas_of_me,
-            step: time("StepMs", self.step_ms)?,
-            kinds,
-            classes,
-            tenants: (self.tenants.iter())
-                .map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s })
-                .collect(),
-            over_share_worth: self.over_share_worth,
-            limits: Limits {
-                attempts: limits.send_cap,
-                cancel: limits.may_cancel,
-                probes: limits.probes,
-                second_copies: limits.second_copies,
-                retry_after: limits.retry_after,
-                retry_after_most: time("Limits.MaxRetryAfterMs", limits.max_retry_after_ms)?,
-                places_ahead: extra.early_pairing,
-                resume: extra.resume,
-                writers_read: extra.self_prefill,
-            },
-            rules: Rules {
-                answer_slack: time("Rules.AnswerSlackMs", rules.answer_slack_ms)?,
-                drain_grace: time("Rules.DrainGraceMs", rules.drain_grace_ms)?,
-                cold_from: rules.cold_from,
-                warm_up: time("Rules.WarmUpMs", rules.warm_up_ms)?,
-                fall_multiple: rules.fall_multiple,
-                fall_after: time("Rules.TipAfterMs", rules.tip_after_ms)?,
-                ask_within: time("Rules.AskWithinMs", rules.ask_within_ms)?,
-                release_within: time("Extra.ReleaseWithinMs", extra.release_within_ms)?,
-            },
-            prices: Prices {
-                probe: prices.probe,
-                cross_zone: prices.cross_zone,
-                cross_cell: extra.cross_cell_price,
-                waste: prices.waste,
-                late_fail: prices.late_fail,
-            },
-            reports: match self.report.source.as_str() {
-                "answers" => ReportSource::Answers,
-                "probe" => ReportSource::Probes,
-                "none" => ReportSource::Nowhere,
-                _ => return fault("Info Report.Source", "none of answers, probe and none"),
-            },
-            discovery: match self.discovery.as_str() {
-                "pushed" => Discovery::Pushed,
-                "on_request" => Discovery::OnRequest,
-                _ => return fault("Info Discovery", "neither pushed nor on_request"),
-            },
-        };
-        Ok(settings)
-    }
-
-    fn names(self) -> Names {
-        let report = (self.report.fields.iter())
-            .map(|field| match field.as_str() {
-                "mean_ms" => ReportField::Latency,
-                "x0" => ReportField::MemoryShare,
-                "x1" => ReportField::WaitingThousands,
-                _ => ReportField::Unused,
-            })
-            .collect();
-        Names {
-            classes: self.classes.into_iter().map(|c| c.name).collect(),
-            tenants: self.tenants.into_iter().map(|t| t.name).collect(),
-            zones: self.zones,
-            kinds: self.models,
-            report,
-        }
-    }
-}
-
-impl InfoClass {
-    fn effect(&self) -> Parsed<Effect> {
-        Ok(match (self.repeat.as_str(), self.key_scope.as_str()) {
-            ("retryable", _) => Effect::Safe,
-            ("fragile", _) => Effect::Unsafe,
-            ("dedup", "all") => Effect::Keyed(KeyGroup::All),
-            ("dedup", "zone") => Effect::Keyed(KeyGroup::Zone),
-            ("dedup", "cell") => Effect::Keyed(KeyGroup::Cell),
-            ("dedup", _) => return fault("Info Classes.KeyScope", "none of all, zone and cell"),
-            _ => return fault("Info Classes.Repeat", "none of retryable, dedup and fragile"),
-        })
-    }
-}
-
 struct Instance {
     router: Router,
     names: Names,
