Keep the way to a dropped peer until its calls end; close idle links ahead of the limit

Seen in reading: a cancel for a call at a server that the list has dropped found no actor (the table in src/transport/hub.rs, `settle`), so a call to a machine that had vanished would have stayed open, with its request, for good. Each open request now holds the way to its peers' actors.

At 0.45 all go ahead of the limit. At most 20 idle ones a peer are kept, and clients have two fifths of the descriptors: idle connections could otherwise use up what new calls need.

--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -66,7 +66,8 @@
         request.tenant = Some(TenantId(tenant));
     }
     request.hint = text(headers, "x-weight-hint")?.map(|hint| whole(hint, "x-weight-hint")).transpose()?;
-    request.resent = text(headers, "x-repeat")?.is_some();
+    // "again" is a client that comes for the rest of a stream: no repeat of a try.
+    request.resent = text(headers, "x-repeat")? == Some("1");
     facts(need("x-facts")?, &mut request)?;
     Ok(Heading { id: id.to_string(), request, time_left: time_left.saturating_mul(1000) })
 }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -83,27 +83,9 @@
         time_left: Micros,
     },
     /// Close an attempt's connection and report its end.
-    Cancel {
-        /// Whose server.
-        pool: PoolId,
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: u32,
-        /// Where it went.
-        server: ServerId,
-    },
+    Cancel(RequestId, u32),
     /// The attempt's answer is the client's.
-    Relay {
-        /// Whose server.
-        pool: PoolId,
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: u32,
-        /// Whose answer it is.
-        server: ServerId,
-    },
+    Relay(RequestId, u32),
     /// Final answer: refused, and when to come back.
     Refuse(RequestId, Option<Micros>),
     /// Final answer: failed.
@@ -244,8 +226,7 @@
                     let Some(a) = open.attempts.get_mut(attempt as usize) else { continue };
                     if a.ended.is_none() && !started && !a.cancelled {
                         (a.timed_out, a.cancelled) = (true, true);
-                        let (pool, server) = (open.pool, a.server);
-                        out.push(Output::Cancel { pool, request: id, attempt, server });
+                        out.push(Output::Cancel(id, attempt));
                     }
                 }
                 Due::Release(pool, id, holders) => {
@@ -308,13 +289,13 @@
         if owned || a.cancelled {
             // The client has its answer already: a second one must not reach it.
             if !std::mem::replace(&mut a.cancelled, true) {
-                out.push(Output::Cancel { pool, request: id, attempt, server });
+                out.push(Output::Cancel(id, attempt));
             }
             return;
         }
         let took = now.saturating_sub(a.sent);
         open.owner = Some(attempt);
-        out.push(Output::Relay { pool, request: id, attempt, server });
+        out.push(Output::Relay(id, attempt));
         self.drive(now, pool, Event::Started { request: id, attempt, server, took }, out);
     }
 
@@ -394,7 +375,7 @@
                 let started = open.owner == Some(attempt);
                 let a = open.attempts.get_mut(attempt as usize).filter(|a| a.ended.is_none() && !started)?;
                 if !std::mem::replace(&mut a.cancelled, true) {
-                    out.push(Output::Cancel { pool, request, attempt, server: a.server });
+                    out.push(Output::Cancel(request, attempt));
                 }
             }
             Action::Refuse { request, retry_after } => {
@@ -419,7 +400,7 @@
                 let attempt = open.owner?;
                 let a = open.attempts.get_mut(attempt as usize)?;
                 a.cancelled = true;
-                out.push(Output::Cancel { pool, request, attempt, server: a.server });
+                out.push(Output::Cancel(request, attempt));
             }
             Action::Release(request) => self.release(now, pool, request, out),
             Action::HoldPlace { request, server } => out.push(Output::Hold(pool, request, server)),
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -4,6 +4,9 @@
 
 use tokio::sync::Semaphore;
 
+/// Part of the rest that is for clients. Each has at most one call to a peer out; what peers have beyond that
+/// is for idle connections, probes and leases.
+const FRONTS: f64 = 0.4;
 /// Descriptors for the runtime, standard streams, listeners, discovery and counters.
 const RESERVED: usize = 32;
 
@@ -19,7 +22,8 @@
 impl Budget {
     /// Splits so many descriptors.
     pub fn new(sockets: usize) -> Self {
-        let half = sockets.saturating_sub(RESERVED) / 2;
-        Budget { fronts: Arc::new(Semaphore::new(half)), peers: Arc::new(Semaphore::new(half)) }
+        let all = sockets.saturating_sub(RESERVED);
+        let fronts = (all as f64 * FRONTS) as usize;
+        Budget { fronts: Arc::new(Semaphore::new(fronts)), peers: Arc::new(Semaphore::new(all - fronts)) }
     }
 }
--- a/src/transport/connector.rs
+++ b/src/transport/connector.rs
@@ -21,10 +21,11 @@
 use crate::protocol::settings::Links;
 
 /// Part of a server's idle limit after which a connection is no longer used: past the limit a request
-/// written to it would end as a reset.
-const IDLE_PART: f64 = 0.6;
-/// The most idle connections that are kept for one peer.
-const MOST_IDLE: usize = 64;
+/// written to it would end as a reset. The pool closes what is no longer used once in such a span, so that
+/// under a half of the limit all are closed ahead of it.
+const IDLE_PART: f64 = 0.45;
+/// The most idle connections that are kept for one peer: idle ones must not use the budget up.
+const MOST_IDLE: usize = 20;
 
 /// The client for peers. It never sends anything again by itself.
 pub type PeerClient = Client<Connector, Tracked>;
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -179,7 +179,15 @@
     payload: Arc<Payload>,
     reply: Option<oneshot::Sender<Reply>>,
     heads: Vec<(u32, Body)>,
-    owner: Option<(PoolId, ServerId)>,
+    /// Where its attempts went, in their order. A peer that the list has dropped is still there for them.
+    sent: Vec<(u32, mpsc::Sender<ToPeer>)>,
+    owner: Option<mpsc::Sender<ToPeer>>,
+}
+
+impl Held {
+    fn at(&self, attempt: u32) -> Option<mpsc::Sender<ToPeer>> {
+        self.sent.iter().find(|(number, _)| *number == attempt).map(|(_, peer)| peer.clone())
+    }
 }
 
 struct Pool {
@@ -234,7 +242,8 @@
     fn take(&mut self, now: Micros, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Request(admission, payload, reply) => {
-                let held = Held { payload, reply: Some(reply), heads: Vec::new(), owner: None };
+                let held =
+                    Held { payload, reply: Some(reply), heads: Vec::new(), sent: Vec::new(), owner: None };
                 self.held.insert(admission.request.id, held);
                 self.core.handle(now, Input::Request(*admission), out);
             }
@@ -250,10 +259,9 @@
                 self.core.handle(now, Input::List(pool, update), out);
             }
             Message::HandBack(request, payload) => {
-                let owner = self.held.get(&request).and_then(|held| held.owner);
-                if let Some(peer) = owner.and_then(|(pool, server)| self.peer(pool, server)) {
+                if let Some(owner) = self.held.get(&request).and_then(|held| held.owner.as_ref()) {
                     // With a full mailbox the server would not get it in time either.
-                    let _ = peer.try_send(ToPeer::Post(payload));
+                    let _ = owner.try_send(ToPeer::Post(payload));
                 }
             }
             Message::Totals(sender) => {
@@ -290,34 +298,33 @@
         self.pools.get(usize::from(pool.0))?.peers.get(&server)
     }
 
-    /// A peer's actor never waits for the module's, so waiting for room in its mailbox can't lock up.
-    async fn tell(&self, pool: PoolId, server: ServerId, message: ToPeer) -> bool {
-        match self.peer(pool, server) {
-            Some(peer) => peer.send(message).await.is_ok(),
-            None => false,
-        }
-    }
-
     async fn carry_out(&mut self, output: Output) {
         match output {
             Output::Send { pool, request, attempt, server, time_left } => {
-                let Some(held) = self.held.get(&request) else { return };
-                let payload = held.payload.clone();
-                let send = Attempt { request, number: attempt, payload, time_left };
-                if !self.tell(pool, server, ToPeer::Send(send)).await {
-                    let (outcome, kept_tokens, report) = (Outcome::ConnectFailed, 0, None);
-                    self.again(Input::Ended { request, attempt, outcome, kept_tokens, report });
+                let peer = self.peer(pool, server).cloned();
+                let Some(held) = self.held.get_mut(&request) else { return };
+                let send = Attempt { request, number: attempt, payload: held.payload.clone(), time_left };
+                match peer {
+                    Some(peer) => {
+                        held.sent.push((attempt, peer.clone()));
+                        tell(&peer, ToPeer::Send(send)).await;
+                    }
+                    None => {
+                        let (outcome, kept_tokens, report) = (Outcome::ConnectFailed, 0, None);
+                        self.again(Input::Ended { request, attempt, outcome, kept_tokens, report });
+                    }
                 }
             }
-            Output::Cancel { pool, request, attempt, server } => {
-                if let Some(held) = self.held.get_mut(&request) {
-                    held.heads.retain(|(number, _)| *number != attempt);
+            Output::Cancel(request, attempt) => {
+                let Some(held) = self.held.get_mut(&request) else { return };
+                held.heads.retain(|(number, _)| *number != attempt);
+                if let Some(peer) = held.at(attempt) {
+                    tell(&peer, ToPeer::Cancel(request, attempt)).await;
                 }
-                self.tell(pool, server, ToPeer::Cancel(request, attempt)).await;
             }
-            Output::Relay { pool, request, attempt, server } => {
+            Output::Relay(request, attempt) => {
                 let Some(held) = self.held.get_mut(&request) else { return };
-                held.owner = Some((pool, server));
+                held.owner = held.at(attempt);
                 let Some(at) = held.heads.iter().position(|(number, _)| *number == attempt) else { return };
                 let (_, body) = held.heads.swap_remove(at);
                 // Nothing more is sent for the request: its text need not wait for the end of the answer.
@@ -332,16 +339,22 @@
             Output::Hold(pool, request, server) => {
                 let Some(held) = self.held.get(&request) else { return };
                 let id = held.payload.id.clone();
-                self.tell(pool, server, ToPeer::Hold(request, id)).await;
+                if let Some(peer) = self.peer(pool, server) {
+                    tell(peer, ToPeer::Hold(request, id)).await;
+                }
             }
             Output::Probe(pool, server) => {
-                if !self.tell(pool, server, ToPeer::Probe).await {
+                if let Some(peer) = self.peer(pool, server) {
+                    tell(peer, ToPeer::Probe).await;
+                } else {
                     let (outcome, took, report) = (Outcome::ConnectFailed, 0, None);
                     self.again(Input::Probed { pool, server, outcome, took, report });
                 }
             }
             Output::CloseIdle(pool, server) => {
-                self.tell(pool, server, ToPeer::CloseIdle).await;
+                if let Some(peer) = self.peer(pool, server) {
+                    tell(peer, ToPeer::CloseIdle).await;
+                }
             }
             Output::Log(text) => println!("{text}"),
             Output::Forget(request) => {
@@ -386,6 +399,12 @@
     }
 }
 
+/// A peer's actor never waits for the module's, so waiting for room in its mailbox can't lock up; and it runs
+/// for as long as there is a way to it.
+async fn tell(peer: &mpsc::Sender<ToPeer>, message: ToPeer) {
+    let _ = peer.send(message).await;
+}
+
 async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -59,7 +59,7 @@
 }
 
 fn answers(out: &[Output]) -> usize {
-    let answer = |o: &&Output| matches!(o, Output::Refuse(..) | Output::Fail { .. } | Output::Relay { .. });
+    let answer = |o: &&Output| matches!(o, Output::Refuse(..) | Output::Fail { .. } | Output::Relay(..));
     out.iter().filter(answer).count()
 }
 
@@ -71,7 +71,7 @@
     let failed = Output::Fail { request: id, may_have_run: true, overdue: true };
     assert!(out.contains(&failed), "{out:?}");
     assert_eq!(answers(&out), 1);
-    let cancels = out.iter().filter(|o| matches!(o, Output::Cancel { attempt: 1, .. })).count();
+    let cancels = out.iter().filter(|o| matches!(o, Output::Cancel(_, 1))).count();
     assert_eq!(cancels, 1, "{out:?}");
     // Its answer begins and ends after all: neither reaches the client, both reach the module.
     assert_eq!(answers(&stand.input(Input::Started(id, 1))), 0);
@@ -100,7 +100,7 @@
     let mut stand = Stand::new(Effect::Safe);
     let (id, _) = stand.request();
     let out = stand.input(Input::Gone(id));
-    assert!(matches!(out[..], [Output::Cancel { .. }, Output::Release(..)]), "{out:?}");
+    assert!(matches!(out[..], [Output::Cancel(..), Output::Release(..)]), "{out:?}");
     let out = stand.ended(id, 0, Outcome::Cancelled);
     assert!(!out.contains(&Output::Forget(id)), "{out:?}");
     let out = stand.tick(stand.now + 150 * MS);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -138,15 +138,24 @@
     pub address: String,
     seen: mpsc::UnboundedReceiver<Seen>,
     let_go: mpsc::UnboundedReceiver<String>,
+    listening: tokio::task::AbortHandle,
 }
 
 impl Peer {
+    /// Takes no more connections, as a process that has died; those that are open are the story's to drop.
+    pub async fn stop(&self) {
+        self.listening.abort();
+        while TcpStream::connect(&self.address).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let (seen, sees) = mpsc::unbounded_channel();
         let (let_go, lets_go) = mpsc::unbounded_channel();
-        tokio::spawn(async move {
+        let listening = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (seen, let_go) = (seen.clone(), let_go.clone());
                 tokio::spawn(async move {
@@ -171,7 +180,8 @@
                 });
             }
         });
-        Peer { address, seen: sees, let_go: lets_go }
+        let listening = listening.abort_handle();
+        Peer { address, seen: sees, let_go: lets_go, listening }
     }
 
     pub async fn next(&mut self) -> Seen {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -249,3 +249,80 @@
         assert_eq!(old.unseen(), 0);
     });
 }
+
+/// Failure: a state stays pinned because the reader that should let go of it has died.
+#[test]
+fn where_the_holder_is_dead_another_server_is_told_to_let_go() {
+    story(async {
+        let (mut a, mut b) = (Peer::start().await, Peer::start().await);
+        let writer = nowhere().await;
+        let servers = [
+            member("s-a", &a.address, "reader"),
+            member("s-b", &b.address, "reader"),
+            member("s-w", &writer, "writer"),
+        ];
+        let conductor = Conductor::start(&servers, json!({})).await;
+        let _client = conductor.ask("c1", "ask", 4000).await;
+        let (mut seen, holder, other) = tokio::select! {
+            seen = a.next() => (seen, &a, &mut b),
+            seen = b.next() => (seen, &b, &mut a),
+        };
+        seen.answer("202 Accepted", "", "{}").await;
+        drop(seen);
+        holder.stop().await;
+        assert!(other.next_let_go().await.starts_with("DELETE /kv/leases/c1 "));
+    });
+}
+
+/// Failure: a request is written to a connection that its server has just closed as idle.
+#[test]
+fn idle_connections_are_closed_ahead_of_the_servers_limit() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+        let mut discovery = Peer::start().await;
+        let mut config = config(&discovery.address, &servers);
+        config["settings"]["Limits"]["ConnIdleMs"] = json!(2000.0);
+        let starting = Conductor::start_with(config, json!({}));
+        let (conductor, ()) = tokio::join!(starting, async {
+            let mut seen = discovery.next().await;
+            seen.answer("200 OK", "", &list(1, true, &servers).to_string()).await;
+        });
+        let _client = conductor.ask("c1", "ask", 4000).await;
+        read(&mut reader).await;
+        let mut seen = writer.next().await;
+        seen.begin().await;
+        seen.chunk("data: [DONE]\n\n").await;
+        seen.end().await;
+        let idle = std::time::Instant::now();
+        assert_eq!(seen.wire.rest().await, "");
+        assert!(idle.elapsed().as_millis() < 2000, "{:?}", idle.elapsed());
+    });
+}
+
+/// Failure: clients take so many descriptors that no server can be reached.
+#[test]
+fn beyond_the_budget_a_client_waits_until_another_has_left() {
+    story(async {
+        let mut reader = Peer::start().await;
+        let servers = [member("s-r", &reader.address, "reader")];
+        let mut discovery = Peer::start().await;
+        let mut config = config(&discovery.address, &servers);
+        config["limits"]["sockets"] = json!(64);
+        let starting = Conductor::start_with(config, json!({}));
+        let (conductor, ()) = tokio::join!(starting, async {
+            let mut seen = discovery.next().await;
+            seen.answer("200 OK", "", &list(1, true, &servers).to_string()).await;
+        });
+        let mut first = Vec::new();
+        for n in 0..12 {
+            first.push(conductor.ask(&format!("c{n}"), "ask", 4000).await);
+            reader.next().await.go_on();
+        }
+        let _waits = conductor.ask("late", "ask", 4000).await;
+        let early = tokio::time::timeout(std::time::Duration::from_millis(200), reader.next()).await;
+        assert!(early.is_err(), "its connection is not taken yet");
+        first.clear();
+        assert!(reader.next().await.head.contains("late"));
+    });
+}
