Take no tool server's 202 for a read, and run no raised call twice by one id

Seen in reading src/transport/peer.rs: the answers of tool servers were classed as the platform's, where 202 means that a prompt was read. The module would then have sent the request on to "fetch the state": a booking that a server had taken with 202 would have run again. The pools now have a dialect. A server that raises a call with the same id again in its stream would also have run it twice; later ones are passed over now.

Also: rpc without a listener is a plain configuration error in the daemon.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -22,7 +22,7 @@
 use crate::transport::front::{self, Front, Listener};
 use crate::transport::hub::{self, Hub};
 use crate::transport::list::Watcher;
-use crate::transport::peer::{Common, Probe};
+use crate::transport::peer::{Common, Dialect};
 use crate::transport::rpc::RpcFront;
 
 /// After SIGTERM new connections still come for a while, and are taken for this long.
@@ -135,15 +135,14 @@
         let names = config.settings.clone().names();
         let client = connector::client(links, budget.peers.clone());
         let fields = names.report.clone().into();
-        actor.add_pool(Common { pool, hub: hub.clone(), client, links, probe: Probe::Load, fields });
+        actor.add_pool(Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields });
         let listener = listen(&config.listen, &budget).await?;
         let mut rpc = None;
         if let Some((about, pool)) = tools_pool {
             let tools = tools::prepare(about, pool, &hub, clock)?;
             actor.add_pool(tools.common.clone());
-            if let Some(address) = &about.listen {
-                rpc = Some((listen(address, &budget).await?, about, tools));
-            }
+            let address = about.listen.as_deref().ok_or(ConfigError::NoFront)?;
+            rpc = Some((listen(address, &budget).await?, about, tools));
         }
         tokio::spawn(actor.run());
         let rpc = match rpc {
--- a/src/program/tools.rs
+++ b/src/program/tools.rs
@@ -15,7 +15,7 @@
 use crate::transport::connector;
 use crate::transport::hub::Hub;
 use crate::transport::list::Watcher;
-use crate::transport::peer::{Common, Probe};
+use crate::transport::peer::{Common, Dialect};
 use crate::transport::relay::{Relay, Tool};
 
 /// The tool servers before their actors run.
@@ -39,7 +39,7 @@
     }
     let client = connector::client(links, hub.budget().peers.clone());
     let fields = names.report.clone().into();
-    let common = Common { pool, hub: hub.clone(), client, links, probe: Probe::Life, fields };
+    let common = Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Tools, fields };
     Ok(Tools { common, tools, names, clock })
 }
 
--- a/src/protocol/config.rs
+++ b/src/protocol/config.rs
@@ -119,6 +119,9 @@
     /// The seed is not hexadecimal.
     #[error("the seed '{0}' is not a hexadecimal number")]
     Seed(String),
+    /// Tool servers without a front to reach them by.
+    #[error("rpc.listen is missing")]
+    NoFront,
     /// Counters would be sent without a pause.
     #[error("every_ms must not be 0")]
     NoTime,
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -61,20 +61,29 @@
     pub time_left: Micros,
 }
 
-/// What a probe asks for.
+/// What the servers of a pool speak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Probe {
-    /// A load report.
-    Load,
-    /// A sign of life: any answer is one.
-    Life,
+pub enum Dialect {
+    /// The platform's protocol: readers and writers with leases and load reports.
+    Platform,
+    /// JSON-RPC tool calls. A server need not know the platform: whatever answers a probe lives.
+    Tools,
 }
 
-impl Probe {
-    fn path(self) -> &'static str {
+impl Dialect {
+    fn probe(self) -> &'static str {
         match self {
-            Probe::Load => "/metrics/load",
-            Probe::Life => "/alive",
+            Dialect::Platform => "/metrics/load",
+            Dialect::Tools => "/alive",
+        }
+    }
+
+    /// How an answer that is no 200 ends an attempt. A tool server has no states: its 202 or 410 must not be
+    /// taken for a read, after which the request would go out again.
+    fn outcome(self, status: StatusCode, headers: &HeaderMap) -> Outcome {
+        match (self, platform::outcome(status, headers)) {
+            (Dialect::Tools, Outcome::Read | Outcome::NoState) => Outcome::Error,
+            (_, outcome) => outcome,
         }
     }
 }
@@ -90,8 +99,8 @@
     pub client: PeerClient,
     /// What holds for connections.
     pub links: Links,
-    /// What probes ask for.
-    pub probe: Probe,
+    /// What they speak.
+    pub dialect: Dialect,
     /// The fields of load reports.
     pub fields: Arc<[ReportField]>,
 }
@@ -242,7 +251,7 @@
             return self.stream(request, number, response).await;
         }
         let (head, body) = response.into_parts();
-        let outcome = platform::outcome(head.status, &head.headers);
+        let outcome = self.common.dialect.outcome(head.status, &head.headers);
         let kept_tokens = match http_body_util::Limited::new(body, MOST_REPLY).collect().await {
             Ok(body) => platform::kept_tokens(&body.to_bytes()),
             Err(_) if outcome == Outcome::Read => return End::of(Outcome::Reset),
@@ -310,7 +319,8 @@
     }
 
     async fn ask(&self) -> (Outcome, Option<Report>) {
-        let Some(request) = self.addressed(Request::new(Tracked::empty()), self.common.probe.path()) else {
+        let Some(request) = self.addressed(Request::new(Tracked::empty()), self.common.dialect.probe())
+        else {
             return (Outcome::ConnectFailed, None);
         };
         let response = match self.common.client.request(request).await {
@@ -318,7 +328,7 @@
             Err(error) if error.is_connect() => return (Outcome::ConnectFailed, None),
             Err(_) => return (Outcome::Reset, None),
         };
-        let fine = response.status() == StatusCode::OK || self.common.probe == Probe::Life;
+        let fine = response.status() == StatusCode::OK || self.common.dialect == Dialect::Tools;
         let outcome = if fine { Outcome::Served } else { Outcome::Error };
         let header = load(response.headers());
         let Ok(body) = http_body_util::Limited::new(response.into_body(), MOST_REPLY).collect().await else {
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -1,7 +1,7 @@
 //! Relays JSON-RPC tool calls to tool servers by way of the core: it maps ids, follows the answer's stream,
 //! and relays the calls that the server raises in it. Who is called, again or not, the module decides.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -152,15 +152,21 @@
     effect: Arc<AtomicBool>,
 }
 
-type Raised = JoinSet<(Value, Result<Value, RpcError>)>;
+/// The calls that a stream has raised.
+#[derive(Default)]
+struct Raised {
+    open: JoinSet<(Value, Result<Value, RpcError>)>,
+    /// All their ids, as text: one that comes again in the stream must not run again.
+    seen: HashSet<String>,
+}
 
 impl Stream {
     /// Follows the answer to the call's response; none if it ends or goes astray before that. What the call
     /// has raised comes to its own end in any case.
     async fn follow(self, body: Body) -> Option<Result<Value, RpcError>> {
-        let mut raised = Raised::new();
+        let mut raised = Raised::default();
         let result = self.read(body, &mut raised).await;
-        if !raised.is_empty() {
+        if !raised.open.is_empty() {
             tokio::spawn(self.finish(raised));
         }
         result
@@ -172,7 +178,7 @@
         loop {
             let part = tokio::select! {
                 part = body.parts.recv() => part?,
-                Some(Ok((id, result))) = raised.join_next() => {
+                Some(Ok((id, result))) = raised.open.join_next() => {
                     self.hand_back(id, result).await;
                     continue;
                 }
@@ -211,6 +217,9 @@
 
     /// Relays a call that the server has raised, as a request of its own.
     async fn raise(&self, raised: &mut Raised, id: Value, method: &str, params: Value) {
+        if !raised.seen.insert(id.to_string()) {
+            return;
+        }
         let tool = match self.relay.tool(method, &params) {
             Ok(_) if self.depth + 1 >= DEEPEST => Err(RpcError::Invalid("calls are nested too deep")),
             tool => tool,
@@ -221,7 +230,7 @@
                 self.effect.fetch_or(tool.fragile, Ordering::Relaxed);
                 let call = Call { id: id.clone(), params, session: self.call.session, time_left: Some(left) };
                 let relayed = self.relay.clone().relay(call, tool, self.told.clone(), self.depth + 1);
-                raised.spawn(async move { (id, relayed.await) });
+                raised.open.spawn(async move { (id, relayed.await) });
             }
             Err(error) => self.hand_back(id, Err(error)).await,
         }
@@ -239,7 +248,7 @@
         loop {
             tokio::select! {
                 () = self.told.closed() => return,
-                ended = raised.join_next() => match ended {
+                ended = raised.open.join_next() => match ended {
                     Some(Ok((id, result))) => self.hand_back(id, result).await,
                     Some(Err(_)) => {}
                     None => return,
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -48,6 +48,7 @@
         outer.event(json!({"jsonrpc": "2.0", "method": "progress", "params": {"part": 1}})).await;
         assert_eq!(client.event().await.expect("a note")["params"]["part"], 1);
         outer.event(tool_call(json!(41), "path.hold")).await;
+        outer.event(tool_call(json!(41), "path.hold")).await; // once more, and not to be run again
         let mut booking = either(&mut a, &mut b).await;
         assert_eq!(booking.json()["params"]["name"], "path.hold");
         assert_ne!(booking.json()["id"], 41);
@@ -81,6 +82,10 @@
         drop(booking);
         assert_eq!(code(&mut client).await, -32004);
         assert!(client.until("0\r\n\r\n").await.is_some(), "one answer and the end");
+        // A server that only says that it has taken the booking may have run it as well.
+        let mut client = conductor.call(json!(3), "path.hold").await;
+        either(&mut a, &mut b).await.answer("202 Accepted", "", "").await;
+        assert_eq!(code(&mut client).await, -32004);
         // The same with a stream that has begun.
         let mut client = conductor.call(json!(2), "path.hold").await;
         let mut booking = either(&mut a, &mut b).await;
