Let go of what a broken read may have left while its request waits for a reader

Seen in reading: after a read that was reset or called off, and with no other reader to send to, the router looks again every 50 ms until the deadline and holds no state (src/choice.rs, `advance`); it lets go only at the request's end. By the protocol such a read may have ended well, and its state is then pinned for longer than 300 ms. The core (src/routing/core.rs, `on_ended`) now lets go 100 ms after such an end if still no attempt is out.

--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -173,6 +173,13 @@
     fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.ended.is_none())
     }
+
+    /// No attempt is out, and the last one was a read that did not end cleanly: it may have left a state that
+    /// nobody knows of.
+    fn lies_bare(&self) -> bool {
+        let unclean = |a: &Attempt| a.reads && a.ended.is_some_and(|o| !o.never_ran());
+        !self.out() && self.attempts.last().is_some_and(unclean)
+    }
 }
 
 enum Due {
@@ -230,9 +237,11 @@
                     }
                 }
                 Due::Release(pool, id, holders) => {
-                    out.push(Output::Release(pool, id, holders));
-                    if let Some(open) = self.open.get_mut(&id) {
-                        open.letting_go = false;
+                    let Some(open) = self.open.get_mut(&id) else { continue };
+                    open.letting_go = false;
+                    // A state that was read since then is waited for, or about to be.
+                    if open.over || open.lies_bare() {
+                        out.push(Output::Release(pool, id, holders));
                     }
                     self.forget(id, out);
                 }
@@ -324,6 +333,12 @@
         let settled = open.over;
         let ended = Ended { request: id, attempt, server, outcome, kept_tokens, settled, took, report };
         self.drive(now, pool, Event::Ended(ended), out);
+        // The router may find no reader for a while: what the last one may have left must not stay pinned.
+        if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over && open.lies_bare())
+            && !std::mem::replace(&mut open.letting_go, true)
+        {
+            self.wake(now + RELEASE_AGAIN, Due::Release(pool, id, vec![server]));
+        }
     }
 
     /// Forgets a request once its answer is given and its last attempt has ended.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -111,6 +111,20 @@
     assert!(at.is_some() && forgotten > at, "{out:?}");
 }
 
+/// Failure: a reader's connection breaks just as its read has ended, no other reader is there, and the state
+/// stays pinned while the request waits for one.
+#[test]
+fn a_read_that_broke_is_let_go_of_while_its_request_waits_for_a_reader() {
+    let mut stand = Stand::new(Effect::Safe);
+    let (id, _) = stand.request();
+    let gone = ServerEntry { state: ServerState::Gone, ..server(1, READER, 0) };
+    stand.input(Input::List(stand.pool, ListUpdate { scope: ListScope::Changes, entries: vec![gone] }));
+    let out = stand.ended(id, 0, Outcome::Reset);
+    assert!(!out.iter().any(|o| matches!(o, Output::Send { .. })) && answers(&out) == 0, "{out:?}");
+    let out = stand.tick(stand.now + 150 * MS);
+    assert!(out.contains(&Output::Release(stand.pool, id, vec![ServerId(1)])), "{out:?}");
+}
+
 #[test]
 fn an_answer_that_breaks_off_is_the_end_of_its_request() {
     let mut stand = Stand::new(Effect::Safe);
