Read the configuration again on SIGHUP and watch discovery where it now listens

Now SIGHUP has the file read again, in whatever phase; one that can't be read (yet) is read anew up to five times and then leaves all as it was. The watch drops the call that is out and asks the new address for its whole list, as versions there need not be the old one's.

The story of the program fails without it: the program ends.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -32,6 +32,10 @@
 const LEAST_DEADLINE: Micros = 3_000_000;
 /// ... which comes this long after it at the earliest; the program exits a little ahead.
 const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// A new configuration that can't be read may still be on its way: it is read again after this...
+const READ_AGAIN: Duration = Duration::from_millis(200);
+/// ... so many times.
+const READINGS: u32 = 5;
 /// Clients are taken on without discovery's first answer after this: the known list has to do.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -82,20 +86,42 @@
     pub config: Config,
     /// The operator's, which is empty on the platform.
     pub operator: Operator,
+    /// The file that the platform's configuration is from, which SIGHUP has read again.
+    pub file: Option<String>,
+}
+
+fn read(path: &str) -> Result<String, ProgramError> {
+    std::fs::read_to_string(path).map_err(|error| ProgramError::File(path.to_string(), error))
 }
 
 impl Setup {
     /// Reads the configuration that the environment names, and the operator's file if one is given.
     pub fn read(operator: Option<&str>) -> Result<Self, ProgramError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ProgramError::Variable("LB_CONFIG"))?;
-        let read = |path: &str| {
-            std::fs::read_to_string(path).map_err(|error| ProgramError::File(path.to_string(), error))
-        };
         let operator = match operator {
             Some(path) => Operator::parse(&read(path)?)?,
             None => Operator::default(),
         };
-        Ok(Setup { config: Config::parse(&read(&path)?)?, operator })
+        Ok(Setup { config: Config::parse(&read(&path)?)?, operator, file: Some(path) })
+    }
+}
+
+/// Takes a new configuration on at each SIGHUP, in whatever phase: of it, where discovery listens. What can't
+/// be read leaves all as it was. Without this the signal would end the program.
+async fn reload(mut hangup: Signal, file: Option<String>, discovery: watch::Sender<String>) {
+    while hangup.recv().await.is_some() {
+        let Some(file) = &file else { continue };
+        for reading in 1..=READINGS {
+            match read(file).and_then(|text| Ok(Config::parse(&text)?)) {
+                Ok(config) => {
+                    println!("new configuration: discovery at {}", config.discovery);
+                    discovery.send_replace(config.discovery);
+                    break;
+                }
+                Err(error) => eprintln!("birchspur: reading {reading} of the new configuration: {error}"),
+            }
+            tokio::time::sleep(READ_AGAIN).await;
+        }
     }
 }
 
@@ -116,8 +142,9 @@
 impl Life {
     /// Starts the actors and listens; no client is invited yet.
     pub async fn start(setup: Setup) -> Result<Self, ProgramError> {
-        let Setup { config, operator } = setup;
+        let Setup { config, operator, file } = setup;
         let (terminate, report) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
+        let hangup = signal(SignalKind::hangup())?;
         let (clock, budget, seed) = (Clock::start(), Budget::new(config.limits.sockets), config.seed()?);
         let (settings, links) = (config.settings.settings()?, config.settings.links()?);
         let mut classes = settings.classes.clone();
@@ -160,9 +187,11 @@
         if let Some(collectd) = operator.collectd {
             tokio::spawn(export::to_collectd(collectd, hub.clone()));
         }
+        let (discovery, address) = watch::channel(config.discovery);
+        tokio::spawn(reload(hangup, file, discovery));
         let watcher = Watcher {
             pool,
-            address: config.discovery,
+            address,
             client: connector::client(links, Arc::new(Semaphore::new(4))),
             hub: hub.clone(),
             names: names.clone(),
--- a/src/program/tools.rs
+++ b/src/program/tools.rs
@@ -50,7 +50,7 @@
         let pool = common.pool;
         let watcher = Watcher {
             pool,
-            address: rpc.discovery.clone().unwrap_or_default(),
+            address: watch::Sender::new(rpc.discovery.clone().unwrap_or_default()).subscribe(),
             client: connector::client(common.links, Arc::new(Semaphore::new(4))),
             hub: hub.clone(),
             names,
--- /dev/null
+++ b/src/transport/door.rs
@@ -0,0 +1,310 @@
+//! Takes clients' connections in and serves routes on them: hyper's server connection, with a gate before it
+//! for what that can't be told to do. axum's own loop can't close a connection that says nothing, and hyper
+//! takes a head with two framings for a good one.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use bytes::{Buf, BytesMut};
+use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::{Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tower::Service;
+
+use super::line::{Line, Lines, Place};
+use crate::protocol::framing::{Framing, framing};
+
+/// Bytes read at once while a head is awaited.
+const READ: usize = 2048;
+/// What no parser takes for a head: hyper answers it with 400 and closes.
+const NO_HEAD: &[u8] = b"-\r\n\r\n";
+
+/// A listener that takes no more connections than the budget has room for; others wait in the kernel's queue.
+pub struct Listener {
+    listener: TcpListener,
+    lines: Lines,
+}
+
+/// The time by which a request's body has to be there.
+#[derive(Clone, Copy)]
+pub struct WholeBy(pub Instant);
+
+impl Listener {
+    /// Listens on an address.
+    pub async fn bind(address: &str, lines: Lines) -> io::Result<Self> {
+        Ok(Listener { listener: TcpListener::bind(address).await?, lines })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    async fn accept(&self) -> Gate {
+        let permit = self.lines.room().await;
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    // Without it events would wait for the client's acknowledgements; the rest still works.
+                    let _ = stream.set_nodelay(true);
+                    let place = self.lines.enter(permit);
+                    return Gate { stream, place, held: BytesMut::new(), pass: 0, reading: Reading::Head };
+                }
+                // A connection that is gone already, or descriptors that ran out all the same.
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    /// Serves until `closing`, then takes no more connections and finishes what is open.
+    pub async fn serve(self, routes: Router, closing: impl Future<Output = ()>) {
+        let mut closing = pin!(closing);
+        let (close, closes) = watch::channel(false);
+        let mut open = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = &mut closing => break,
+                gate = self.accept() => drop(open.spawn(tend(gate, routes.clone(), closes.clone()))),
+                Some(_) = open.join_next() => {}
+            }
+        }
+        drop(self);
+        close.send_replace(true);
+        while open.join_next().await.is_some() {}
+    }
+}
+
+/// Serves one connection until it ends, is idle or late for too long, or has to make room.
+async fn tend(gate: Gate, routes: Router, mut closes: watch::Receiver<bool>) {
+    let line = gate.place.line.clone();
+    let service = service_fn(|request| answer(request, routes.clone(), line.clone()));
+    let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
+    let mut closing = false;
+    loop {
+        let ends = line.ends();
+        if ends.is_some_and(|at| at <= Instant::now()) {
+            return;
+        }
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = line.stirred.notified() => {}
+            () = super::hub::sleep_until(ends) => {}
+            _ = closes.wait_for(|closes| *closes), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    mut routes: Router,
+    line: Arc<Line>,
+) -> Result<Response<Answer>, Infallible> {
+    let mut request = request.map(Body::new);
+    request.extensions_mut().insert(WholeBy(line.open()));
+    let busy = Busy(line);
+    let mut last = request.headers().contains_key(TRANSFER_ENCODING);
+    let mut response = routes.call(request).await?;
+    last |= [StatusCode::REQUEST_TIMEOUT, StatusCode::PAYLOAD_TOO_LARGE].contains(&response.status());
+    if last {
+        // The gate does not know where such a request ends: nothing behind it may be taken for another.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| Answer { body, _busy: busy }))
+}
+
+/// Marks a connection as busy until the answer is made or given up.
+struct Busy(Arc<Line>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.answered();
+    }
+}
+
+struct Answer {
+    body: Body,
+    _busy: Busy,
+}
+
+impl http_body::Body for Answer {
+    type Data = bytes::Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<bytes::Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+enum Reading {
+    /// A head is awaited; what has come of it is held back until it is whole.
+    Head,
+    /// So many bytes of a body are still to come.
+    Body(u64),
+    /// All that comes passes; the connection ends with this request.
+    Rest,
+}
+
+/// A client's connection, on which only whole and unambiguous heads pass.
+struct Gate {
+    stream: TcpStream,
+    place: Place,
+    held: BytesMut,
+    /// So much of what is held may pass.
+    pass: usize,
+    reading: Reading,
+}
+
+impl Gate {
+    /// Looks at what is held while a head is awaited.
+    fn look(&mut self) {
+        match framing(&self.held) {
+            Framing::Partial => {}
+            Framing::Sized(head, body) => {
+                self.pass = head;
+                self.reading = if body == 0 { Reading::Head } else { Reading::Body(body) };
+            }
+            Framing::Chunked(head) => {
+                self.pass = head;
+                self.reading = Reading::Rest;
+            }
+            Framing::Bad => {
+                self.held = BytesMut::from(NO_HEAD);
+                self.pass = NO_HEAD.len();
+                self.reading = Reading::Rest;
+            }
+        }
+    }
+
+    /// Passes on what is held and may pass.
+    fn hand_on(&mut self, out: &mut ReadBuf<'_>) -> bool {
+        let most = self.pass.min(out.remaining());
+        out.put_slice(&self.held[..most]);
+        self.held.advance(most);
+        self.pass -= most;
+        most > 0
+    }
+}
+
+impl AsyncRead for Gate {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let gate = &mut *self;
+        if out.remaining() == 0 {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            if gate.hand_on(out) {
+                return Poll::Ready(Ok(()));
+            }
+            match gate.reading {
+                Reading::Head => {
+                    if !gate.held.is_empty() {
+                        gate.place.line.arriving();
+                        gate.look();
+                        if gate.pass > 0 {
+                            continue;
+                        }
+                    }
+                    let mut space = [0; READ];
+                    let mut part = ReadBuf::new(&mut space);
+                    ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                    if part.filled().is_empty() {
+                        return Poll::Ready(Ok(()));
+                    }
+                    gate.held.extend_from_slice(part.filled());
+                }
+                Reading::Body(left) if !gate.held.is_empty() => {
+                    gate.pass = usize::try_from(left).unwrap_or(usize::MAX).min(gate.held.len());
+                    gate.count(gate.pass);
+                }
+                Reading::Body(left) => {
+                    let most = usize::try_from(left).unwrap_or(usize::MAX).min(out.remaining());
+                    let mut part = ReadBuf::new(out.initialize_unfilled_to(most));
+                    ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                    let read = part.filled().len();
+                    out.advance(read);
+                    gate.count(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Reading::Rest if !gate.held.is_empty() => gate.pass = gate.held.len(),
+                Reading::Rest => return Pin::new(&mut gate.stream).poll_read(cx, out),
+            }
+        }
+    }
+}
+
+impl Gate {
+    /// So many bytes of the body have come.
+    fn count(&mut self, read: usize) {
+        if let Reading::Body(left) = self.reading {
+            let left = left.saturating_sub(read as u64);
+            self.reading = if left == 0 { Reading::Head } else { Reading::Body(left) };
+        }
+    }
+}
+
+impl AsyncWrite for Gate {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.place.line.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/transport/list.rs
+++ b/src/transport/list.rs
@@ -28,8 +28,8 @@
 pub struct Watcher {
     /// Whose list.
     pub pool: PoolId,
-    /// Where discovery listens.
-    pub address: String,
+    /// Where discovery listens; a new configuration may name another address.
+    pub address: watch::Receiver<String>,
     /// The client.
     pub client: PeerClient,
     /// Where news goes.
@@ -65,8 +65,19 @@
     /// Watches for as long as the program runs; `heard` becomes true with the first answer.
     pub async fn run(self, heard: watch::Sender<bool>) {
         let mut revision = None;
+        let mut moves = self.address.clone();
         loop {
-            let answer = tokio::time::timeout(HOLD + MARGIN, self.ask(revision)).await;
+            let address = moves.borrow_and_update().clone();
+            let answer = tokio::select! {
+                biased;
+                // The old discovery falls silent soon, and what the new one has to tell counts as told: its
+                // list is asked for whole at once, as its versions need not be the old one's.
+                Ok(()) = moves.changed() => {
+                    revision = None;
+                    continue;
+                }
+                answer = tokio::time::timeout(HOLD + MARGIN, self.ask(&address, revision)) => answer,
+            };
             match answer.map_err(ListError::from).and_then(|list| list) {
                 // A list that has gone back, and does not come whole, is one of a restarted discovery.
                 Ok(list) if !list.complete && revision.is_none_or(|seen| list.revision < seen) => {
@@ -92,12 +103,11 @@
         }
     }
 
-    async fn ask(&self, after: Option<u64>) -> Result<List, ListError> {
+    async fn ask(&self, address: &str, after: Option<u64>) -> Result<List, ListError> {
         let query = after.map(|rev| format!("?from={rev}&hold_ms={}", HOLD.as_millis())).unwrap_or_default();
         let mut request = Request::new(Tracked::empty());
-        *request.uri_mut() = format!("http://{}/discovery/hosts{query}", self.address)
-            .parse()
-            .map_err(|_| ListError::Address)?;
+        *request.uri_mut() =
+            format!("http://{address}/discovery/hosts{query}").parse().map_err(|_| ListError::Address)?;
         let response = self.client.request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(ListError::Status(response.status()));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -270,7 +270,7 @@
     pub async fn start_with(config: Value, operator: Value) -> Self {
         let config = Config::parse(&config.to_string()).expect("a configuration");
         let operator = Operator::parse(&operator.to_string()).expect("an operator's file");
-        let life = Life::start(Setup { config, operator }).await.expect("it starts");
+        let life = Life::start(Setup { config, operator, file: None }).await.expect("it starts");
         let (front, rpc) = life.addresses().expect("addresses");
         let mut phases = life.phases();
         tokio::spawn(life.run());
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -102,6 +102,43 @@
     });
 }
 
+/// Failure: SIGHUP ends the program, or it goes on watching a discovery that the new configuration has left.
+#[test]
+fn on_sighup_the_list_is_watched_where_the_new_configuration_says() {
+    story(async {
+        let (mut old, mut new, writer) = (Peer::start().await, Peer::start().await, Peer::start().await);
+        let (mut before, mut after) = (Peer::start().await, Peer::start().await);
+        let folder = Folder::new("hup");
+        let front = nowhere().await;
+        let servers = [member("s-old", &old.address, "reader"), member("s-w", &writer.address, "writer")];
+        let mut config = config(&before.address, &servers);
+        config["listen"] = json!(front);
+        let child = program(&folder.write("config.json", &config.to_string()), None);
+        let mut watch = before.next().await;
+        watch.answer("200 OK", "", &list(8, true, &servers).to_string()).await;
+        watch.wire.message().await.expect("the list is taken");
+        while !up(&front).await.contains("200") {}
+        // Half a file is no configuration; the whole one that follows is taken without a further signal.
+        folder.write("config.json", "{\"name\":");
+        signal(&child, "HUP").await;
+        let mut told = BufReader::new(child.stderr.expect("a pipe")).lines();
+        let line = told.next_line().await.expect("text").expect("a line");
+        assert!(line.contains("reading 1 of the new configuration"), "{line}");
+        config["discovery"] = json!(after.address);
+        folder.write("config.json", &config.to_string());
+        let mut seen = after.next().await;
+        assert!(seen.head.starts_with("GET /discovery/hosts HTTP"), "{}", seen.head);
+        let servers = [member("s-new", &new.address, "reader"), member("s-w", &writer.address, "writer")];
+        seen.answer("200 OK", "", &list(3, true, &servers).to_string()).await;
+        let (head, _) = seen.wire.message().await.expect("the watch");
+        assert!(head.starts_with("GET /discovery/hosts?from=3&"), "{head}");
+        let mut client = Wire::connect(&front).await;
+        client.write(&platform_request("c1", "ask", 4000, "{}")).await;
+        new.next().await;
+        assert_eq!(old.unseen(), 0);
+    });
+}
+
 #[test]
 fn a_bad_configuration_is_told_plainly() {
     story(async {
