Gate clients' connections at the front, and pass only whole events of instances on

Memory (11 MB), CPU (0.03 s in the worst second) were ruled out.

An open id is refused with 409. In answers, a line that belongs to no event, an event without end, or a head that begins and does not end is a failed attempt that may have run, without blame for the server.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -19,8 +19,9 @@
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
 use crate::transport::connector;
+use crate::transport::door::Listener;
 use crate::transport::export;
-use crate::transport::front::{self, Front, Listener};
+use crate::transport::front::{self, Front};
 use crate::transport::hub::{self, Hub};
 use crate::transport::list::Watcher;
 use crate::transport::peer::{Common, Dialect};
@@ -235,7 +236,7 @@
             let closing = async move {
                 let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
             };
-            serving.spawn(axum::serve(listener, routes).with_graceful_shutdown(closing).into_future());
+            serving.spawn(listener.serve(routes, closing));
         }
         let mut heard = self.heard;
         let heard = async { heard.wait_for(|heard| *heard).await.is_ok() };
@@ -249,7 +250,7 @@
                 }
                 _ = self.terminate.recv() => break,
                 _ = self.report.recv() => println!("{}", self.hub.totals().await),
-                Some(ended) = serving.join_next() => ended.map_err(io::Error::other)??,
+                Some(ended) = serving.join_next() => ended.map_err(io::Error::other)?,
             }
         }
         self.ready.send_replace(false);
--- a/src/protocol/framing.rs
+++ b/src/protocol/framing.rs
@@ -67,6 +67,9 @@
             assert_eq!(read(bad), Framing::Bad, "{bad}");
         }
         assert_eq!(framing(b"POST /v1/x HTTP/1.1\r\nX-Fa"), Framing::Partial);
-        assert_eq!(framing(&[b"GET / HTTP/1.1\r\nX: ", "x".repeat(MOST_HEAD).as_bytes()].concat()), Framing::Bad);
+        assert_eq!(
+            framing(&[b"GET / HTTP/1.1\r\nX: ", "x".repeat(MOST_HEAD).as_bytes()].concat()),
+            Framing::Bad
+        );
     }
 }
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's protocol: headers of a request, the list of servers, load reports and the events that
 //! an answer ends with.
 
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use serde::Deserialize;
 use thiserror::Error;
@@ -140,10 +141,17 @@
     any.then_some(report)
 }
 
-/// Watches a stream of events go by for what its end tells.
+/// Bytes that are no stream of events, though they came as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the stream is spoilt")]
+pub struct Spoilt;
+
+/// Watches a stream of events go by for what its end tells, and for what does not belong into it: a chunk
+/// whose size is wrong brings another's frame in its midst, or goes on for ever.
 #[derive(Default)]
 pub struct Tail {
-    line: Vec<u8>,
+    /// The event that has not ended yet.
+    held: BytesMut,
     /// Prompt tokens found kept.
     pub kept_tokens: u64,
     /// The load report's text.
@@ -161,37 +169,53 @@
 }
 
 impl Tail {
-    /// The longest line that can be one of those looked for.
-    const MOST_LINE: usize = 4096;
+    /// The longest event: what goes on beyond it is none.
+    const MOST_EVENT: usize = 256 * 1024;
 
-    /// Takes the next bytes.
-    pub fn feed(&mut self, bytes: &[u8]) {
-        for part in bytes.split_inclusive(|b| *b == b'\n') {
-            if self.line.len() < Self::MOST_LINE {
-                self.line.extend_from_slice(part);
-            }
-            if part.ends_with(b"\n") {
-                self.end_line();
-            }
+    /// Takes the next bytes; gives all events that are whole now, unchanged.
+    pub fn feed(&mut self, bytes: Bytes) -> Result<Bytes, Spoilt> {
+        let all = if self.held.is_empty() {
+            bytes
+        } else {
+            self.held.extend_from_slice(&bytes);
+            self.held.split().freeze()
+        };
+        let whole = all.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
+        self.held.extend_from_slice(&all[whole..]);
+        if self.held.len() > Self::MOST_EVENT {
+            return Err(Spoilt);
         }
+        let whole = all.slice(..whole);
+        whole.split(|byte| *byte == b'\n').try_for_each(|line| self.line(line))?;
+        Ok(whole)
     }
 
-    fn end_line(&mut self) {
-        if let Ok(line) = std::str::from_utf8(&self.line) {
-            if let Some(comment) = line.strip_prefix(':') {
-                self.load = comment
-                    .split_once(':')
-                    .filter(|(name, _)| name.trim().eq_ignore_ascii_case(LOAD))
-                    .map(|(_, text)| text.trim().to_string())
-                    .or(self.load.take());
-            } else if let Some(data) = line.strip_prefix("data:").filter(|data| data.contains("\"usage\"")) {
-                let usage = serde_json::from_str::<Chunk>(data.trim()).ok().and_then(|chunk| chunk.usage);
-                if let Some(details) = usage.and_then(|usage| usage.prompt_tokens_details) {
-                    self.kept_tokens = details.cached_tokens;
-                }
+    /// What is left when the stream has ended whole.
+    pub fn rest(&mut self) -> Result<Bytes, Spoilt> {
+        let rest = self.held.split().freeze();
+        rest.split(|byte| *byte == b'\n').try_for_each(|line| self.line(line))?;
+        Ok(rest)
+    }
+
+    fn line(&mut self, line: &[u8]) -> Result<(), Spoilt> {
+        const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
+        let line = std::str::from_utf8(line).map_err(|_| Spoilt)?;
+        let Some((name, value)) = line.trim_end_matches('\r').split_once(':') else {
+            return if line.is_empty() || FIELDS.contains(&line) { Ok(()) } else { Err(Spoilt) };
+        };
+        if name.is_empty() {
+            self.load = value
+                .split_once(':')
+                .filter(|(name, _)| name.trim().eq_ignore_ascii_case(LOAD))
+                .map(|(_, text)| text.trim().to_string())
+                .or(self.load.take());
+        } else if name == "data" && value.contains("\"usage\"") {
+            let usage = serde_json::from_str::<Chunk>(value.trim()).ok().and_then(|chunk| chunk.usage);
+            if let Some(details) = usage.and_then(|usage| usage.prompt_tokens_details) {
+                self.kept_tokens = details.cached_tokens;
             }
         }
-        self.line.clear();
+        if name.is_empty() || FIELDS.contains(&name) { Ok(()) } else { Err(Spoilt) }
     }
 }
 
@@ -276,10 +300,29 @@
             "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n",
             "data: [DONE]\n\n: X-Backend-Load: TEXT x0=0.5\n\n",
         );
-        text.as_bytes().chunks(7).for_each(|part| tail.feed(part));
+        let mut passed = Vec::new();
+        for part in text.as_bytes().chunks(7) {
+            let whole = tail.feed(Bytes::copy_from_slice(part)).expect("events");
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n"), "{whole:?}");
+            passed.extend_from_slice(&whole);
+        }
+        assert_eq!((passed.as_slice(), tail.rest()), (text.as_bytes(), Ok(Bytes::new())));
         assert_eq!((tail.kept_tokens, tail.load.as_deref()), (4096, Some("TEXT x0=0.5")));
     }
 
+    #[test]
+    fn what_is_no_event_spoils_a_stream() {
+        let feed = |text: &str| Tail::default().feed(Bytes::from(text.to_string()));
+        assert_eq!(feed("data: 1\n\n2a\r\ndata: 2\n\n"), Err(Spoilt));
+        assert_eq!(
+            feed("data: 1\n\n: X-Backend-Load: TEXT what=?\n\nda"),
+            Ok("data: 1\n\n: X-Backend-Load: TEXT what=?\n\n".into())
+        );
+        let mut tail = Tail::default();
+        let endless = std::iter::repeat_with(|| tail.feed("data: xxxxxxxx".repeat(1024).into())).take(40);
+        assert_eq!(endless.last(), Some(Err(Spoilt)));
+    }
+
     #[test]
     fn only_an_unprocessed_mark_proves_that_a_request_was_turned_away() {
         let marked =
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -4,6 +4,8 @@
 
 use tokio::sync::Semaphore;
 
+use super::line::Lines;
+
 /// Part of the rest that is for clients. Each has at most one call to a peer out; what peers have beyond that
 /// is for idle connections, probes and leases.
 const FRONTS: f64 = 0.4;
@@ -14,7 +16,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     /// Connections of clients, over all fronts.
-    pub fronts: Arc<Semaphore>,
+    pub fronts: Lines,
     /// Connections to peers, over all pools.
     pub peers: Arc<Semaphore>,
 }
@@ -24,6 +26,6 @@
     pub fn new(sockets: usize) -> Self {
         let all = sockets.saturating_sub(RESERVED);
         let fronts = (all as f64 * FRONTS) as usize;
-        Budget { fronts: Arc::new(Semaphore::new(fronts)), peers: Arc::new(Semaphore::new(all - fronts)) }
+        Budget { fronts: Lines::new(fronts), peers: Arc::new(Semaphore::new(all - fronts)) }
     }
 }
--- a/src/transport/connector.rs
+++ b/src/transport/connector.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -27,6 +28,13 @@
 /// The most idle connections that are kept for one peer: idle ones must not use the budget up.
 const MOST_IDLE: usize = 20;
 
+/// Bytes read at once.
+const READ: usize = 8 * 1024;
+/// The largest head of an answer; what goes on beyond it is none.
+const MOST_HEAD: usize = 64 * 1024;
+/// A head that has begun and does not end within this does not end: its server has sent it at once.
+const HEAD_WITHIN: Duration = Duration::from_millis(400);
+
 /// The client for peers. It never sends anything again by itself.
 pub type PeerClient = Client<Connector, Tracked>;
 
@@ -36,6 +44,7 @@
         .retry_canceled_requests(false)
         .pool_idle_timeout(Duration::from_micros((links.idle as f64 * IDLE_PART) as u64))
         .pool_max_idle_per_host(MOST_IDLE)
+        .http1_max_buf_size(MOST_HEAD)
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
         .build(Connector { within: Duration::from_micros(links.connect), permits })
@@ -64,7 +73,7 @@
             let authority = to.authority().ok_or_else(|| io::Error::other("no address"))?;
             let stream = tokio::time::timeout(within, TcpStream::connect(authority.as_str())).await??;
             stream.set_nodelay(true)?;
-            Ok(Link { io: TokioIo::new(stream), progress: Arc::default(), _permit: permit })
+            Ok(Link { io: TokioIo::new(stream), last: [0; 4], progress: Arc::default(), _permit: permit })
         })
     }
 }
@@ -76,11 +85,14 @@
     handed_over: AtomicBool,
     /// Since then, all that was buffered has been written.
     written: AtomicBool,
+    /// The last bytes that came do not end a head.
+    amid: AtomicBool,
 }
 
 /// A connection to a peer.
 pub struct Link {
     io: TokioIo<TcpStream>,
+    last: [u8; 4],
     progress: Arc<Progress>,
     _permit: OwnedSemaphorePermit,
 }
@@ -95,9 +107,20 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let link = &mut *self;
+        let mut space = [0; READ];
+        let most = buf.remaining().min(READ);
+        let mut part = ReadBuf::new(&mut space[..most]);
+        ready!(Pin::new(link.io.inner_mut()).poll_read(cx, &mut part))?;
+        for byte in part.filled().iter().rev().take(4).rev() {
+            link.last = [link.last[1], link.last[2], link.last[3], *byte];
+        }
+        let amid = !part.filled().is_empty() && link.last != *b"\r\n\r\n";
+        link.progress.amid.store(amid, Ordering::Relaxed);
+        buf.put_slice(part.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -166,6 +189,7 @@
         self.asked.store(true, Ordering::Relaxed);
         if let Some(progress) = self.link.as_ref().and_then(progress) {
             progress.written.store(false, Ordering::Relaxed);
+            progress.amid.store(false, Ordering::Relaxed);
             progress.handed_over.store(true, Ordering::Relaxed);
         }
         Poll::Ready(Some(Ok(Frame::data(body))))
@@ -199,4 +223,27 @@
             && self.asked.load(Ordering::Relaxed)
             && progress(&self.link).is_some_and(|progress| progress.written.load(Ordering::Relaxed))
     }
+
+    /// Ends when a head has begun and does not go on to its end. Answers ahead (1xx) are heads of their own.
+    pub async fn endless_head(&self) {
+        let amid = || progress(&self.link).is_some_and(|progress| progress.amid.load(Ordering::Relaxed));
+        loop {
+            tokio::time::sleep(HEAD_WITHIN / 2).await;
+            if amid() {
+                tokio::time::sleep(HEAD_WITHIN / 2).await;
+                if amid() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Whether what came can't be read, rather than broke off: that says nothing of the server's health.
+pub fn unreadable(error: &(dyn std::error::Error + 'static)) -> bool {
+    std::iter::successors(Some(error), |error| error.source()).any(|error| {
+        let http = error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse);
+        let bytes = error.downcast_ref::<io::Error>().map(io::Error::kind);
+        http || matches!(bytes, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
+    })
 }
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -278,11 +278,7 @@
 }
 
 impl AsyncWrite for Gate {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -1,11 +1,8 @@
 //! The platform's front: clients over HTTP/1.1.
 
-use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use axum::Router;
 use axum::extract::{Request, State};
@@ -14,12 +11,11 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use http_body::Frame;
+use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 
+use super::door::WholeBy;
 use super::hub::{Body, Broken, Hub, Part, Payload, Reply, Ticket};
 use crate::interface::Micros;
 use crate::protocol::platform::{self, MOST_BODY};
@@ -48,12 +44,22 @@
     if *front.ready.borrow() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
-/// Reads a body; the status that refuses it otherwise.
-pub async fn read_body(body: axum::body::Body) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, MOST_BODY).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
+/// Reads a body; the status that refuses it otherwise. A length that is too large is refused before the bytes
+/// have come, and one that does not arrive when its time is over.
+pub async fn read_body(whole_by: Option<WholeBy>, body: axum::body::Body) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let body = Limited::new(body, MOST_BODY).collect();
+    let read = match whole_by {
+        Some(WholeBy(at)) => tokio::time::timeout_at(at, body).await,
+        None => Ok(body.await),
+    };
+    match read {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
@@ -63,7 +69,7 @@
         Ok(heading) => heading,
         Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
     };
-    let body = match read_body(body).await {
+    let body = match read_body(head.extensions.get().copied(), body).await {
         Ok(body) => body,
         Err(status) => return status.into_response(),
     };
@@ -91,6 +97,7 @@
         // Never 429 or 503: those promise that trying again is harmless.
         (Reply::Failed { overdue: true, .. }, _) => StatusCode::GATEWAY_TIMEOUT.into_response(),
         (Reply::Failed { may_have_run: true, .. }, _) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        (Reply::IdIsOpen, _) => StatusCode::CONFLICT.into_response(),
         (Reply::Failed { .. }, _) => StatusCode::BAD_GATEWAY.into_response(),
     }
 }
@@ -121,90 +128,3 @@
         })
     }
 }
-
-/// A listener that takes no more connections than the budget has; others wait in the kernel's queue.
-pub struct Listener {
-    listener: TcpListener,
-    permits: Arc<Semaphore>,
-}
-
-impl Listener {
-    /// Listens on an address.
-    pub async fn bind(address: &str, permits: Arc<Semaphore>) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::bind(address).await?, permits })
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-}
-
-impl axum::serve::Listener for Listener {
-    type Io = Guarded;
-    type Addr = SocketAddr;
-
-    async fn accept(&mut self) -> (Guarded, SocketAddr) {
-        loop {
-            let Ok(permit) = self.permits.clone().acquire_owned().await else {
-                std::future::pending::<()>().await;
-                continue;
-            };
-            match self.listener.accept().await {
-                Ok((stream, from)) => {
-                    // Without it events would wait for the client's acknowledgements; the rest still works.
-                    let _ = stream.set_nodelay(true);
-                    return (Guarded { stream, _permit: permit }, from);
-                }
-                // A connection that is gone already, or descriptors that ran out all the same.
-                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-            }
-        }
-    }
-
-    fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-}
-
-/// A client's connection with its part of the budget.
-pub struct Guarded {
-    stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl AsyncRead for Guarded {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Guarded {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -1,7 +1,7 @@
 //! The module's actor: the one place that feeds the core, reads the clock once a turn, and hands out what
 //! the core wants done.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -77,6 +77,8 @@
 pub enum Reply {
     /// A server's answer.
     Stream(Body),
+    /// Another request with this id is open: passed on, the two would be taken for one.
+    IdIsOpen,
     /// Refused; trying again is harmless, after this long.
     Refused(Option<Micros>),
     /// Failed.
@@ -201,6 +203,7 @@
     clock: Clock,
     pools: Vec<Pool>,
     held: HashMap<RequestId, Held>,
+    ids: HashSet<String>,
     inbox: mpsc::Receiver<Message>,
 }
 
@@ -208,7 +211,7 @@
 pub fn new(core: Core, clock: Clock, budget: Budget) -> (Actor, Hub) {
     let (sender, inbox) = mpsc::channel(MAILBOX);
     let hub = Hub { inbox: sender, ids: Arc::default(), budget };
-    (Actor { core, clock, pools: Vec::new(), held: HashMap::new(), inbox }, hub)
+    (Actor { core, clock, pools: Vec::new(), held: HashMap::new(), ids: HashSet::new(), inbox }, hub)
 }
 
 impl Actor {
@@ -241,7 +244,11 @@
 
     fn take(&mut self, now: Micros, message: Message, out: &mut Vec<Output>) {
         match message {
+            Message::Request(_, payload, reply) if self.ids.contains(&payload.id) => {
+                let _ = reply.send(Reply::IdIsOpen);
+            }
             Message::Request(admission, payload, reply) => {
+                self.ids.insert(payload.id.clone());
                 let held =
                     Held { payload, reply: Some(reply), heads: Vec::new(), sent: Vec::new(), owner: None };
                 self.held.insert(admission.request.id, held);
@@ -358,7 +365,9 @@
             }
             Output::Log(text) => println!("{text}"),
             Output::Forget(request) => {
-                self.held.remove(&request);
+                if let Some(held) = self.held.remove(&request) {
+                    self.ids.remove(&held.payload.id);
+                }
             }
         }
     }
@@ -405,7 +414,8 @@
     let _ = peer.send(message).await;
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
+/// Sleeps until then; without a time, for good.
+pub(super) async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,9 +3,11 @@
 pub mod budget;
 pub mod clock;
 pub mod connector;
+pub mod door;
 pub mod export;
 pub mod front;
 pub mod hub;
+pub mod line;
 pub mod list;
 pub mod peer;
 pub mod relay;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -13,10 +14,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
-use super::connector::{PeerClient, Tracked};
+use super::connector::{PeerClient, Tracked, unreadable};
 use super::hub::{Body, Hub, Message, Part, Payload};
 use crate::interface::*;
-use crate::protocol::platform::{self, Tail};
+use crate::protocol::platform::{self, Spoilt, Tail};
 use crate::protocol::settings::{Links, ReportField};
 use crate::routing::{Input, PoolId};
 
@@ -241,8 +242,15 @@
         };
         let (message, fate) = Tracked::attach(head, payload.body.clone());
         drop(payload);
-        let response = match self.common.client.request(message).await {
+        let answered = select(self.common.client.request(message), Box::pin(fate.endless_head())).await;
+        let response = match answered {
+            Either::Right(_) => return End::of(Outcome::Error),
+            Either::Left((answer, _)) => answer,
+        };
+        let response = match response {
             Ok(response) => response,
+            // It has run, and its server is as well as any.
+            Err(error) if unreadable(&error) => return End::of(Outcome::Error),
             // Before its last byte is written a request can't have run; after that it may have.
             Err(error) if fate.may_have_run(&error) => return End::of(Outcome::Reset),
             Err(_) => return End::of(Outcome::ConnectFailed),
@@ -280,11 +288,16 @@
                     Ok(part) if !part.is_empty() => part,
                     _ => continue,
                 },
+                Some(Err(error)) if unreadable(&error) => return End::of(Outcome::Error),
                 Some(Err(_)) => return End::of(Outcome::Reset),
-                None if receiver.is_some() => return End::of(Outcome::Error),
                 None => break,
             };
-            tail.feed(&part);
+            // Only whole events pass: a stream that is spoilt in its first one has not begun.
+            let part = match self.whole(&mut tail, part) {
+                Ok(part) if part.is_empty() => continue,
+                Ok(part) => part,
+                Err(Spoilt) => return End::of(Outcome::Error),
+            };
             if parts.send(Part::Data(part)).await.is_err() {
                 return End::of(Outcome::Cancelled);
             }
@@ -293,13 +306,27 @@
                 self.common.hub.send(Message::Head { request, attempt: number, body }).await;
             }
         }
-        if parts.send(Part::End).await.is_err() {
+        let Ok(rest) = tail.rest() else { return End::of(Outcome::Error) };
+        if receiver.is_some() {
+            return End::of(Outcome::Error);
+        }
+        if !rest.is_empty() && parts.send(Part::Data(rest)).await.is_err()
+            || parts.send(Part::End).await.is_err()
+        {
             return End::of(Outcome::Cancelled);
         }
         load = tail.load.or(load);
         End { outcome: Outcome::Served, kept_tokens: tail.kept_tokens, load }
     }
 
+    /// The whole events so far. A tool server may answer with something else than events.
+    fn whole(&self, tail: &mut Tail, part: Bytes) -> Result<Bytes, Spoilt> {
+        match self.common.dialect {
+            Dialect::Platform => tail.feed(part),
+            Dialect::Tools => Ok(part),
+        }
+    }
+
     fn addressed<B>(&self, mut request: Request<B>, path: &str) -> Option<Request<B>> {
         *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
         request.headers_mut().insert(HOST, self.address.parse().ok()?);
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -110,7 +110,7 @@
                 (Reply::Refused(after), _) => Err(RpcError::Refused(after)),
                 (Reply::Failed { may_have_run: true, .. }, _) if tool.fragile => Err(RpcError::MayHaveRun),
                 (Reply::Failed { overdue: true, .. }, _) => Err(RpcError::Deadline),
-                (Reply::Failed { .. }, _) => Err(RpcError::Failed),
+                (Reply::Failed { .. } | Reply::IdIsOpen, _) => Err(RpcError::Failed),
                 (Reply::Stream(body), ticket) => {
                     // Once it has begun, a call that breaks off may have taken effect, its own or that of a
                     // booking it has raised.
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -79,7 +79,7 @@
 
 async fn take(State(front): State<RpcFront>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let body = match read_body(body).await {
+    let body = match read_body(head.extensions.get().copied(), body).await {
         Ok(body) => body,
         Err(status) => return fault(status, &Value::Null, RpcError::Invalid("the body can't be read")),
     };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -37,6 +37,16 @@
         self.stream.write_all(text.as_bytes()).await.expect("the other side reads");
     }
 
+    /// Writes as much as the other side takes before it hangs up.
+    pub async fn write_all_it_takes(&mut self, text: &str) {
+        let _ = self.stream.write_all(text.as_bytes()).await;
+    }
+
+    /// The rest of a chunked answer, to its last chunk.
+    pub async fn rest_of_answer(&mut self) -> String {
+        self.until("0\r\n\r\n").await.expect("the last chunk")
+    }
+
     /// Reads more; false at the end or a reset.
     async fn more(&mut self) -> bool {
         matches!(self.stream.read_buf(&mut self.ahead).await, Ok(n) if n > 0)
