End a stream that has stopped, and fail at once what may not run again

A carriage return in events gives such a chunk away at once; otherwise a stream that brings nothing for 4 s has stopped (5 s are allowed), and one whose head came without an event within 1 s was spoilt in it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -281,7 +281,10 @@
             return;
         }
         let left = self.settings.limits.attempts.saturating_sub(open.attempts.len() as u32);
-        if left == 0 || now + self.settings.step >= open.request.expires {
+        // It may have run and must not run again: its client hears so now, not when its aim has passed.
+        let unsafe_class = self.class(&open.request).effect == Effect::Unsafe;
+        let spent = unsafe_class && open.attempts.iter().any(|a| a.may_have_run);
+        if left == 0 || spent || now + self.settings.step >= open.request.expires {
             return self.give_up(id, LOOK_AGAIN, out);
         }
         let (ranked, new) = match open.state {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -174,6 +174,10 @@
 
     /// Takes the next bytes; gives all events that are whole now, unchanged.
     pub fn feed(&mut self, bytes: Bytes) -> Result<Bytes, Spoilt> {
+        // Events have none: it is the frame of a chunk that another has swallowed, perhaps the last one.
+        if bytes.contains(&b'\r') {
+            return Err(Spoilt);
+        }
         let all = if self.held.is_empty() {
             bytes
         } else {
@@ -200,7 +204,7 @@
     fn line(&mut self, line: &[u8]) -> Result<(), Spoilt> {
         const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
         let line = std::str::from_utf8(line).map_err(|_| Spoilt)?;
-        let Some((name, value)) = line.trim_end_matches('\r').split_once(':') else {
+        let Some((name, value)) = line.split_once(':') else {
             return if line.is_empty() || FIELDS.contains(&line) { Ok(()) } else { Err(Spoilt) };
         };
         if name.is_empty() {
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -27,6 +27,11 @@
 const PARTS_AHEAD: usize = 32;
 /// The most of a short answer that is read.
 const MOST_REPLY: usize = 64 * 1024;
+/// A stream that has begun and brings nothing for so long has stopped, whatever its connection says. Whoever
+/// waits for it is owed the end within 5 s of the last event.
+const SILENT: Duration = Duration::from_millis(4_000);
+/// The head of an answer comes with the first token: its first event is as good as here.
+const FIRST_EVENT: Duration = Duration::from_millis(1_000);
 /// A call that lets go of a state is given up after this, so that another server can still be asked in time.
 const LET_GO_WITHIN: Duration = Duration::from_millis(80);
 
@@ -276,12 +281,17 @@
         let (parts, receiver) = mpsc::channel(PARTS_AHEAD);
         let mut receiver = Some(receiver);
         let mut tail = Tail::default();
+        // A tool server is silent for as long as what it has raised takes.
+        let watched = self.common.dialect == Dialect::Platform;
         loop {
             // A client that has left closes the channel, and this call its connection.
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return End::of(Outcome::Cancelled),
                 frame = body.frame() => frame,
+                () = tokio::time::sleep(if receiver.is_some() { FIRST_EVENT } else { SILENT }), if watched => {
+                    return End::of(Outcome::Error);
+                }
             };
             let part = match frame {
                 Some(Ok(frame)) => match frame.into_data() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -207,6 +207,8 @@
         stand.accept(request);
         stand.end(request.id, Outcome::Read);
         stand.end(request.id, outcome);
+        // The client need not wait for what can't come any more.
+        assert!(stand.requests[&request.id].over, "{outcome:?}");
         let sent = stand.sends.len();
         stand.pass(11 * S);
         assert_eq!((sent, stand.sends.len()), (2, 2));
