Make servers that answer with errors the last resort, first of all for bookings

In src/choice.rs only `avoid` knew of an error, and only for the same request: such a server answers at once, so it looks emptier than any.

Now a server whose recent ends are errors by a fifth, or a tenth for what must not run twice, and more than one, ranks behind the others for some seconds; what may be repeated finds out first whether it has recovered.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -63,6 +63,15 @@
 const TRIAL_AFTER: Micros = 2_000_000;
 /// A server that was full is this long the last resort of that tenant and class: others may find room there.
 const FULL_REST: Micros = 3_000_000;
+/// A server is faulty if, of late, this part of what it ended was errors, or half of it for what must not run
+/// twice: what may be repeated finds out whether it has recovered...
+const FAULTY: f64 = 0.2;
+/// ... mixed with so many good ends, so that it gets a trial after a rest...
+const FAULT_PRIOR: f64 = 2.0;
+/// ... and if there were more than this: one now and then proves nothing.
+const FAULTS_LEAST: f64 = 1.2;
+/// Half of what is known of a server's errors is forgotten in this time.
+const FAULT_HALF_LIFE: f64 = 2.5e6;
 /// Part of one dispatcher's share of a cold server's budget that is used; the rest is for chance and peers.
 const COLD_PART: f64 = 0.5;
 /// Advice to a client turned away for want of capacity: the answer comes at once, its next try later.
@@ -104,7 +113,11 @@
 
 impl Pace {
     fn decay(&mut self, now: Micros) {
-        let part = 0.5f64.powf(now.saturating_sub(self.at) as f64 / PACE_HALF_LIFE);
+        self.forget(now, PACE_HALF_LIFE);
+    }
+
+    fn forget(&mut self, now: Micros, half_life: f64) {
+        let part = 0.5f64.powf(now.saturating_sub(self.at) as f64 / half_life);
         (self.work, self.seconds, self.at) = (self.work * part, self.seconds * part, now);
     }
 
@@ -131,6 +144,7 @@
     streams: u32, // own answers in the making, or waiting to be
     pace: Pace,
     begins: Pace, // answers begun, and the seconds to their first tokens
+    faults: Pace, // errors, and all that it ended, as seconds
     doubt: bool,  // no sign of life since a failure
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
@@ -352,13 +366,19 @@
     }
 
     /// A candidate of last resort: the request failed there before, or its like was turned away, or it is in
-    /// doubt and not due for its single trial, or it left a probe unanswered for as long as a choice waits.
+    /// doubt and not due for its single trial, or it answers with errors, or it left a probe unanswered for
+    /// as long as a choice waits.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> bool {
         let silent = server.probed > server.reported.unwrap_or(0) && now >= server.probed + self.ask_wait();
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
         let full =
             server.full.get(&(open.request.tenant, open.request.class)).is_some_and(|until| now < *until);
-        silent || doubted || full || open.avoid == Some(server.entry.id)
+        let mut faults = server.faults;
+        faults.forget(now, FAULT_HALF_LIFE);
+        let strict = if self.class(&open.request).effect == Effect::Unsafe { 0.5 } else { 1.0 };
+        let bound = strict * FAULTY * (faults.seconds + FAULT_PRIOR);
+        let faulty = faults.work > bound.max(FAULTS_LEAST);
+        silent || doubted || full || faulty || open.avoid == Some(server.entry.id)
     }
 
     /// Whether the answer can't begin within the aim even at the cheapest reader: sent on, it would only
@@ -753,6 +773,11 @@
             if server.role != Role::Reader {
                 server.streams = server.streams.saturating_sub(1);
             }
+            if matches!(ended.outcome, Outcome::Error | Outcome::Served | Outcome::Read) {
+                server.faults.forget(now, FAULT_HALF_LIFE);
+                server.faults.work += f64::from(ended.outcome == Outcome::Error);
+                server.faults.seconds += 1.0;
+            }
             learn(now, server, &open.request, a, &ended);
         }
         match ended.outcome {
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -165,6 +165,37 @@
     assert!(near >= 30, "{near} of 60 stayed in their cell");
 }
 
+/// Failure: a server answers four requests in ten with errors, at once, and looks emptier than any.
+#[test]
+fn a_server_that_answers_with_errors_is_left_for_a_while() {
+    let mut settings = settings();
+    settings.classes[0].effect = Effect::Unsafe;
+    let writers = [1, 2].map(|id| server(id, WRITER, 0));
+    let mut stand = Stand::new(settings, [vec![server(0, READER, 0)], writers.to_vec()].concat());
+    let to_writer = |stand: &mut Stand, n: u64, faulty: Option<ServerId>| {
+        let request = request(n, stand.now);
+        stand.accept(request);
+        stand.pass(20 * MS);
+        stand.end_with(request.id, Outcome::Read, 0, report(0.1, 0.0));
+        stand.pass(20 * MS);
+        let writer = stand.at(request.id).expect("a writer");
+        if faulty == Some(writer) {
+            stand.end(request.id, Outcome::Error);
+        } else {
+            stand.start(request.id);
+            stand.end_with(request.id, Outcome::Served, 0, report(0.1, 0.0));
+        }
+        stand.pass(60 * MS);
+        writer
+    };
+    let bad = Some(ServerId(1));
+    let sent = (0..40).filter(|n| Some(to_writer(&mut stand, *n, bad)) == bad).count();
+    assert!((1..=6).contains(&sent), "{sent} of 40 to the faulty one");
+    stand.pass(12 * S);
+    let sent = (40..80).filter(|n| Some(to_writer(&mut stand, *n, None)) == bad).count();
+    assert!(sent >= 10, "{sent} of 40 once it has recovered");
+}
+
 #[test]
 fn a_jammed_fleet_turns_work_away_early() {
     let mut stand = Stand::new(settings(), vec![server(0, READER, 0), server(1, WRITER, 0)]);
