Doubt no server for one broken connection or probe, and shun readers less than writers

A probe printed what the router believed at each: one of seven readers willing, 8,000 to 15,000 tokens waiting there, the other six idle. What kept them out in src/choice.rs: `on_ended` doubts a server at one reset; `on_probed` leaves a probe that broke as unanswered, so its reader counts as silent, ranks last, and only the first three are ever probed again; and `unwilling` shuns a reader for a fifth of errors, though a read is soon repeated. Ruled out: reports (92 to 324 ms old), load of others (0), late requests (4 s left).

Now a second break without a sign of life between them casts doubt (a dead process refuses the next connection at once), a broken probe is no silence, and a reader is faulty from two fifths.

Each story fails without its guard.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,6 +149,7 @@
     begins: Pace, // answers begun, and the seconds to their first tokens
     faults: Pace, // errors, and all that it ended, as seconds
     doubt: bool,  // no sign of life since a failure
+    broke: bool,  // nor since a connection broke
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
     cold_until: Micros, // while it is cold: when this dispatcher may send there next
@@ -378,7 +379,11 @@
             server.full.get(&(open.request.tenant, open.request.class)).is_some_and(|until| now < *until);
         let mut faults = server.faults;
         faults.forget(now, FAULT_HALF_LIFE);
-        let strict = if self.class(&open.request).effect == Effect::Unsafe { 0.5 } else { 1.0 };
+        let strict = match (server.role, self.class(&open.request).effect) {
+            (Role::Reader, _) => 2.0, // a read is soon repeated, and few readers make long queues
+            (_, Effect::Unsafe) => 0.5,
+            _ => 1.0,
+        };
         let bound = strict * FAULTY * (faults.seconds + FAULT_PRIOR);
         let faulty = faults.work > bound.max(FAULTS_LEAST);
         silent || doubted || full || faulty || open.avoid == Some(server.entry.id)
@@ -731,7 +736,7 @@
             }
         }
         if alive {
-            (server.heard, server.doubt) = (now, false);
+            (server.heard, server.doubt, server.broke) = (now, false, false);
         }
     }
 
@@ -801,7 +806,11 @@
             }
             _ => open.avoid = Some(from),
         }
-        if matches!(ended.outcome, Outcome::ConnectFailed | Outcome::Reset) && !begun {
+        // One connection may break at a server that is well; where the process has died, the next one tells.
+        let server = self.servers.get_mut(&from).filter(|_| !begun);
+        let broken =
+            server.is_some_and(|s| ended.outcome == Outcome::Reset && std::mem::replace(&mut s.broke, true));
+        if broken || ended.outcome == Outcome::ConnectFailed && !begun {
             self.doubt(now, from, out);
         }
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -950,10 +959,10 @@
     }
 
     fn on_probed(&mut self, now: Micros, from: ServerId, outcome: Outcome, report: Option<Report>) {
-        let fine = outcome == Outcome::Served;
+        let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
         self.hear(now, from, false, report);
-        if let Some(server) = self.servers.get_mut(&from).filter(|_| fine && report.is_none()) {
-            server.probed = 0; // it has nothing to report yet, and that is no silence
+        if let Some(server) = self.servers.get_mut(&from).filter(|_| told) {
+            server.probed = 0; // it has nothing to report yet, or hung up on the probe: that is no silence
         }
     }
 }
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -217,9 +217,9 @@
     assert_eq!(stand.at(silent.id), Some(ServerId(0)), "the reader itself is not in doubt");
 }
 
-/// Failure: one broken connection makes the router forget all that a healthy reader keeps.
+/// Failure: one broken connection makes the router forget all that a healthy reader keeps, and leave it.
 #[test]
-fn a_reset_connection_does_not_empty_the_table() {
+fn a_reset_connection_neither_empties_the_table_nor_casts_doubt() {
     let mut stand = Stand::new(settings(), pair_fleet());
     let first = request(1, stand.now);
     let (reader, _) = serve(&mut stand, first, 50 * MS).expect("served");
@@ -228,7 +228,6 @@
     assert_eq!(stand.at(broken.id), Some(reader));
     stand.gone(broken.id);
     stand.end(broken.id, Outcome::Reset);
-    stand.pass(3 * S);
     // Only what it keeps speaks for it now.
     for server in [ServerId(0), ServerId(10)] {
         let report = report(0.1, if server == reader { 6_000.0 } else { 0.0 });
@@ -238,6 +237,33 @@
     assert_eq!(serve(&mut stand, again, 50 * MS).map(|pair| pair.0), Some(reader));
 }
 
+/// Failure: a probe whose connection breaks makes a reader the last resort until it is probed again, which
+/// the last resort is not; in the end one reader of seven was left, and turned work away.
+#[test]
+fn a_probe_that_broke_is_no_silence() {
+    let mut settings = settings();
+    settings.limits.probes = true;
+    let mut stand = Stand::new(settings, pair_fleet());
+    let first = request(1, stand.now);
+    stand.accept(first);
+    stand.pass(100 * MS);
+    let reader = stand.at(first.id).expect("a reader");
+    stand.end_with(first.id, Outcome::Read, 0, report(0.1, 0.0));
+    stand.pass(S);
+    stand.probes.clear();
+    let again = Request { session: first.session, ..request(2, stand.now) };
+    stand.accept(again);
+    assert!(stand.probes.contains(&reader), "{:?}", stand.probes);
+    for server in std::mem::take(&mut stand.probes) {
+        let broke = server == reader;
+        let outcome = if broke { Outcome::Reset } else { Outcome::Served };
+        let report = if broke { None } else { report(0.1, 0.0) };
+        stand.feed(Event::Probed { server, outcome, took: MS, report });
+    }
+    stand.pass(100 * MS);
+    assert_eq!(stand.at(again.id), Some(reader));
+}
+
 #[test]
 fn a_jammed_fleet_turns_work_away_early() {
     let mut stand = Stand::new(settings(), vec![server(0, READER, 0), server(1, WRITER, 0)]);
