--- a/tests/service.rs
+++ b/tests/service.rs
@@ -236,3 +236,40 @@
         assert!(next.until("0\r\n\r\n").await.expect("a whole answer").contains("data: [DONE]"));
     });
 }
+
+/// Failure: on a long day, instances that were replaced are still sent to, or new ones are not.
+#[test]
+fn instances_are_replaced_again_and_again_while_clients_ask_once_and_stay() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let fleet = |n: u64, reader: &Peer, writer: &Peer| {
+            let ids = (format!("s-r{n}"), format!("s-w{n}"));
+            [member(&ids.0, &reader.address, "reader"), member(&ids.1, &writer.address, "writer")]
+        };
+        let mut discovery = Peer::start().await;
+        let mut servers = fleet(0, &reader, &writer);
+        let starting = Conductor::start_with(config(&discovery.address, &servers), json!({}));
+        let (conductor, mut watch) = tokio::join!(starting, async {
+            let mut watch = discovery.next().await;
+            watch.answer("200 OK", "", &list(1, true, &servers).to_string()).await;
+            watch
+        });
+        let mut stay = Vec::new();
+        for n in 1..6 {
+            watch.wire.message().await.expect("the watch");
+            let (old_reader, old_writer) = (reader, writer);
+            (reader, writer) = (Peer::start().await, Peer::start().await);
+            let mut gone = servers;
+            gone.iter_mut().for_each(|member| member["phase"] = json!("terminated"));
+            servers = fleet(n, &reader, &writer);
+            let changes = [&gone[..], &servers[..]].concat();
+            watch.answer("200 OK", "", &list(n + 1, false, &changes).to_string()).await;
+            old_reader.stop().await;
+            old_writer.stop().await;
+            let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
+            serve(&mut reader, &mut writer).await;
+            assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+            stay.push(client);
+        }
+    });
+}
