Listen on the inherited socket, and answer /healthcheck at the operators' address

Change: LB_ACCEPT_FD names the clients' listening socket. It is checked (open, a socket, a stream, listening), else one line and exit 1. Clients are taken from it only while this process can serve: from the phase Serving to SIGTERM; then the own copy is closed, never shut down. 'admin' or LB_ADMIN gives the operators' address: one call a connection, 16 callers of which the longest waiting one makes room, 5 s for a whole call.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
 //! ```
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 pub mod choice;
 pub mod documents;
--- a/src/program/error.rs
+++ b/src/program/error.rs
@@ -8,6 +8,7 @@
 use crate::membership::Refusal;
 use crate::protocol::config::ConfigError;
 use crate::protocol::settings::Fault;
+use crate::transport::inherited::InheritedError;
 
 /// Why the program can't run.
 #[derive(Debug, Error)]
@@ -44,6 +45,16 @@
     /// It can't listen.
     #[error("can't listen on {0}: {1}")]
     Listen(String, io::Error),
+    /// It can't listen where operators call.
+    #[error(
+        "can't listen for operators on {0}: {1}; 'admin' in the configuration (or LB_ADMIN) has to name a free address of this machine"
+    )]
+    Admin(String, io::Error),
+    /// The listening socket that it should inherit is none.
+    #[error(
+        "LB_ACCEPT_FD: {0}; it has to number a listening TCP socket that this process inherits, or be unset"
+    )]
+    Inherited(#[from] InheritedError),
     /// The system fails it.
     #[error("the system fails: {0}")]
     System(#[from] io::Error),
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -22,9 +22,11 @@
 use crate::transport::clock::Clock;
 use crate::transport::export;
 use crate::transport::front::door::Listener;
+use crate::transport::front::operators::{self, Operators, OperatorsListener};
 use crate::transport::front::platform::{self, Front};
 use crate::transport::front::rpc::RpcFront;
 use crate::transport::hub::{self, message::Hub};
+use crate::transport::inherited::inherited;
 use crate::transport::peer::{Common, Dialect, connector};
 
 /// After SIGTERM new connections still come for a while, and are taken for this long.
@@ -41,7 +43,7 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 /// Where the program stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Nothing is promised yet.
     Starting,
@@ -63,6 +65,13 @@
     pub operator: Operator,
     /// The file that the platform's configuration is from, which SIGHUP has read again.
     pub file: Option<String>,
+    /// The clients' listening socket, where this process inherits it.
+    pub accept: Option<std::net::TcpListener>,
+}
+
+/// A variable of the environment, if it says anything.
+fn variable(name: &'static str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
 pub(super) fn read(path: &str) -> Result<String, ProgramError> {
@@ -72,12 +81,16 @@
 impl Setup {
     /// Reads the configuration that the environment names, and the operator's document if one is given.
     pub fn read(operator: Option<&str>) -> Result<Self, ProgramError> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| ProgramError::Variable("LB_CONFIG"))?;
+        // First of all: a descriptor opened before might get the number.
+        let accept = variable("LB_ACCEPT_FD").map(|number| inherited(&number)).transpose()?;
+        let path = variable("LB_CONFIG").ok_or(ProgramError::Variable("LB_CONFIG"))?;
         let operator = match operator {
             Some(path) => Operator::parse(&Source::new(path, read(path)?))?,
             None => Operator::default(),
         };
-        Ok(Setup { config: Config::parse(&read(&path)?)?, operator, file: Some(path) })
+        let mut config = Config::parse(&read(&path)?)?;
+        config.admin = config.admin.or_else(|| variable("LB_ADMIN"));
+        Ok(Setup { config, operator, file: Some(path), accept })
     }
 }
 
@@ -107,6 +120,9 @@
     hub: Hub,
     front: Front,
     listener: Listener,
+    /// Others hold the clients' listening socket too.
+    shared: bool,
+    admin: Option<OperatorsListener>,
     rpc: Option<(Listener, axum::Router)>,
     heard: watch::Receiver<bool>,
     longest: Duration,
@@ -117,7 +133,7 @@
 impl Life {
     /// Starts the actors and listens; no client is invited yet.
     pub async fn start(setup: Setup) -> Result<Self, ProgramError> {
-        let Setup { config, operator, file } = setup;
+        let Setup { config, operator, file, accept } = setup;
         let (terminate, report) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
         let hangup = signal(SignalKind::hangup())?;
         let (clock, budget, seed) = (Clock::start(), Budget::new(config.limits.sockets), config.seed()?);
@@ -138,7 +154,18 @@
         let client = connector::client(links, budget.peers.clone());
         let fields = names.report.clone().into();
         actor.add_pool(Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields });
-        let listener = listen(&config.listen, &budget).await?;
+        let shared = accept.is_some();
+        let listener = match accept {
+            Some(accept) => Listener::adopt(accept, budget.fronts.clone())?,
+            None => listen(&config.listen, &budget).await?,
+        };
+        let admin = match config.admin.filter(|address| !address.is_empty()) {
+            Some(address) => {
+                let bound = OperatorsListener::bind(&address).await;
+                Some(bound.map_err(|error| ProgramError::Admin(address, error))?)
+            }
+            None => None,
+        };
         let mut rpc_front = None;
         if let Some((rpc, pool)) = tools_pool {
             actor.add_pool(tools::common(rpc, pool, &hub));
@@ -181,6 +208,8 @@
             hub,
             front,
             listener,
+            shared,
+            admin,
             rpc,
             heard,
             longest: Duration::from_micros(deadline.max(LEAST_DEADLINE)),
@@ -200,16 +229,35 @@
         Ok((self.listener.address()?, rpc))
     }
 
+    /// Where operators call, if they do.
+    pub fn admin_address(&self) -> io::Result<Option<SocketAddr>> {
+        self.admin.as_ref().map(OperatorsListener::address).transpose()
+    }
+
     /// Serves until SIGTERM, then finishes; gives the counters at the end.
     pub async fn run(mut self) -> Result<Totals, ProgramError> {
         let mut serving = JoinSet::new();
-        for (listener, routes) in self.rpc.into_iter().chain([(self.listener, platform::routes(self.front))])
+        if let Some(admin) = self.admin {
+            let operators = Operators { ready: self.ready.subscribe() };
+            tokio::spawn(admin.serve(operators::routes(operators)));
+        }
+        let own = !self.shared;
+        for (listener, routes, own) in [(self.listener, platform::routes(self.front), own)]
+            .into_iter()
+            .chain(self.rpc.map(|(listener, routes)| (listener, routes, true)))
         {
+            // Whoever waits at a shared socket is another process's too: they are taken only while this one
+            // can serve, and not for a moment after it was told to end.
+            let (from, to) =
+                if own { (Phase::Starting, Phase::Closing) } else { (Phase::Serving, Phase::Draining) };
             let mut phases = self.phase.subscribe();
-            let closing = async move {
-                let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
-            };
-            serving.spawn(listener.serve(routes, closing));
+            serving.spawn(async move {
+                let _ = phases.wait_for(|phase| *phase >= from).await;
+                let closing = async move {
+                    let _ = phases.wait_for(|phase| *phase >= to).await;
+                };
+                listener.serve(routes, closing).await;
+            });
         }
         let mut heard = self.heard;
         let heard = async { heard.wait_for(|heard| *heard).await.is_ok() };
--- a/src/protocol/config.rs
+++ b/src/protocol/config.rs
@@ -20,6 +20,9 @@
     pub seed: String,
     /// What the machine has.
     pub limits: MachineLimits,
+    /// Where operators call; none where they don't.
+    #[serde(default)]
+    pub admin: Option<String>,
     /// The list of servers as it was known last; perhaps old.
     pub known: List,
     /// The settings, with the simulator's names and units.
--- a/src/transport/front/door.rs
+++ b/src/transport/front/door.rs
@@ -52,6 +52,11 @@
         Ok(Listener { listener: TcpListener::bind(address).await?, lines })
     }
 
+    /// Listens on a socket that somebody else opened, and that others may hold as well.
+    pub fn adopt(listener: std::net::TcpListener, lines: Lines) -> io::Result<Self> {
+        Ok(Listener { listener: TcpListener::from_std(listener)?, lines })
+    }
+
     /// Where it listens.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -80,6 +85,7 @@
         let mut open = JoinSet::new();
         loop {
             tokio::select! {
+                biased;
                 () = &mut closing => break,
                 gate = self.accept() => drop(open.spawn(tend(gate, routes.clone(), closes.clone()))),
                 Some(_) = open.join_next() => {}
--- a/src/transport/front/mod.rs
+++ b/src/transport/front/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod door;
 pub mod line;
+pub mod operators;
 pub mod platform;
 pub mod rpc;
--- /dev/null
+++ b/src/transport/front/operators.rs
@@ -0,0 +1,110 @@
+//! The operators' front: one call a connection, at an address of its own, so that no crowd of clients can shut
+//! the operators out.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+use tower::Service;
+
+/// Callers that may be connected at once; they are counted against the budget's reserve.
+pub const MOST_CALLERS: usize = 16;
+/// A call is whole, and its answer taken, within this.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// The largest body of a call; none has a use for one.
+const MOST_BODY: usize = 4 * 1024;
+/// The least that hyper takes: heads beyond it are answered 431.
+const MOST_HEAD: usize = 8 * 1024;
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct Operators {
+    /// Whether the program can serve.
+    pub ready: watch::Receiver<bool>,
+}
+
+/// The routes of the operators' front.
+pub fn routes(operators: Operators) -> Router {
+    Router::new().route("/healthcheck", get(health)).with_state(operators)
+}
+
+async fn health(State(operators): State<Operators>) -> Response {
+    match *operators.ready.borrow() {
+        true => (StatusCode::OK, "yes\n").into_response(),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "no: it is starting or ending\n").into_response(),
+    }
+}
+
+/// Where operators call.
+pub struct OperatorsListener {
+    listener: TcpListener,
+}
+
+impl OperatorsListener {
+    /// Listens on an address.
+    pub async fn bind(address: &str) -> io::Result<Self> {
+        Ok(OperatorsListener { listener: TcpListener::bind(address).await? })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Answers for as long as the program runs. Of too many callers the one that has waited longest goes: whoever
+    /// has sent a whole call is answered at once, so that one is waiting for nothing.
+    pub async fn serve(self, routes: Router) {
+        let mut calls = JoinSet::new();
+        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        callers.retain(|caller| !caller.is_finished());
+                        if callers.len() >= MOST_CALLERS && let Some(longest) = callers.pop_front() {
+                            longest.abort();
+                        }
+                        callers.push_back(calls.spawn(call(stream, routes.clone())));
+                    }
+                    // A caller that is gone already, or descriptors that ran out all the same.
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                },
+                Some(_) = calls.join_next() => {}
+            }
+        }
+    }
+}
+
+async fn call(stream: TcpStream, routes: Router) {
+    let service = service_fn(|request| answer(request, routes.clone()));
+    let mut connection = http1::Builder::new();
+    connection.keep_alive(false).max_buf_size(MOST_HEAD).timer(TokioTimer::new());
+    let connection = connection.serve_connection(TokioIo::new(stream), service);
+    // Whoever sends no whole call, or does not take its answer, is owed nothing.
+    let _ = tokio::time::timeout(CALL_WITHIN, connection).await;
+}
+
+/// Answers a call once it is whole.
+async fn answer(request: Request<Incoming>, mut routes: Router) -> Result<Response, Infallible> {
+    let (head, body) = request.into_parts();
+    match Limited::new(body, MOST_BODY).collect().await {
+        Ok(_) => routes.call(Request::from_parts(head, Body::empty())).await,
+        Err(_) => Ok((StatusCode::PAYLOAD_TOO_LARGE, "a call needs no body\n").into_response()),
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod export;
 pub mod front;
 pub mod hub;
+pub mod inherited;
 pub mod list;
 pub mod peer;
 pub mod relay;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -294,10 +294,34 @@
     Operator::parse(&Source::new("operator.kdl", text)).expect("an operator's document")
 }
 
+/// A folder of this test's own, gone with it.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("birchspur-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// A conductor that serves; its fronts' addresses.
 pub struct Conductor {
     pub front: String,
     pub rpc: String,
+    pub admin: String,
 }
 
 impl Conductor {
@@ -316,13 +340,15 @@
 
     pub async fn start_with(config: Value, operator: &str) -> Self {
         let config = Config::parse(&config.to_string()).expect("a configuration");
-        let life =
-            Life::start(Setup { config, operator: parsed(operator), file: None }).await.expect("it starts");
+        let setup = Setup { config, operator: parsed(operator), file: None, accept: None };
+        let life = Life::start(setup).await.expect("it starts");
         let (front, rpc) = life.addresses().expect("addresses");
+        let admin = life.admin_address().expect("an address").map_or(String::new(), |at| at.to_string());
         let mut phases = life.phases();
         tokio::spawn(life.run());
         phases.wait_for(|phase| *phase == Phase::Serving).await.expect("it serves");
-        Conductor { front: front.to_string(), rpc: rpc.map_or(String::new(), |rpc| rpc.to_string()) }
+        let rpc = rpc.map_or(String::new(), |rpc| rpc.to_string());
+        Conductor { front: front.to_string(), rpc, admin }
     }
 
     /// Sends a request of a class to the platform's front.
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -10,29 +10,6 @@
 use tokio::net::{TcpListener, UnixListener};
 use tokio::process::{Child, Command};
 
-/// A folder of this test's own, gone with it.
-struct Folder(std::path::PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("birchspur-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).expect("a folder");
-        Folder(path)
-    }
-
-    fn write(&self, name: &str, text: &str) -> String {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).expect("a file");
-        path.display().to_string()
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn program(config: &str, operator: Option<&str>) -> Child {
     Command::new(env!("CARGO_BIN_EXE_birchspur"))
         .args(operator.into_iter().flat_map(|path| ["serve", "--operator", path]))
