Tell the figures at /stats: by class, attempts written whole, instances known and skipped

Change: the core counts how the requests of each class ended, and the attempts whose last byte was written; the peers report that from the connection's flush (Input::Written). The module says how many servers it knows and how many of them it avoids (Router::fleet): those that take no work and those it would hold for a last resort of any request. Graphite, collectd and SIGUSR1 tell the same figures after the nine that they told before.

--- a/crates/lab/src/policy/plain.rs
+++ b/crates/lab/src/policy/plain.rs
@@ -177,6 +177,7 @@
 impl Conductor for Plain {
     fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
+            Input::Written(..) => {}
             Input::List(_, _, update) => {
                 self.servers = update.entries.into_iter().map(|entry| (entry.id, entry)).collect();
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -246,6 +246,13 @@
         self.looked = Some(Vec::new());
     }
 
+    /// How many servers are listed, and to how many of them nothing is sent now if it can be helped.
+    pub fn fleet(&self, now: Micros) -> (usize, usize) {
+        let plain = Open::default();
+        let avoids = |s: &&Server| !s.entry.takes_work() || self.unwilling(now, s, &plain).is_some();
+        (self.servers.len(), self.servers.values().filter(avoids).count())
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Actions) {
         if self.timers == 0 {
@@ -365,9 +372,8 @@
         ((ASK_WAIT * self.shortest_aim()) as Micros).min(self.settings.rules.release_within / 4)
     }
 
-    /// Why a candidate is of last resort: the request failed there before, or its like was turned away, or it
-    /// is in doubt and not due for its single trial, or it answers with errors, or it left a probe unanswered
-    /// for as long as a choice waits.
+    /// Why a candidate is of last resort: the request failed there, or its like was turned away as full, or
+    /// it is in doubt and not due for a trial, answers with errors, or left a probe unanswered for too long.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> Option<LastResort> {
         let silent = server.probed > server.reported.unwrap_or(0) && now >= server.probed + self.ask_wait();
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
@@ -559,8 +565,7 @@
                 (true, true, Role::Writer) => (0, share),
                 (true, true, _) => (1, share),
                 (true, false, _) => (2, share),
-                (false, true, _) => (3, f64::from(server.streams) / server.weight),
-                (false, false, _) => (4, f64::from(server.streams) / server.weight),
+                (false, near, _) => (4 - u8::from(near), f64::from(server.streams) / server.weight),
             };
             let (barred, last_resort) = (self.barred(now, server, open), self.unwilling(now, server, open));
             if let Some(looked) = &mut self.looked {
@@ -894,14 +899,13 @@
             ListScope::Changes => {}
         }
         for entry in update.entries {
-            let Some(kind) = self.settings.kinds.get(usize::from(entry.kind.0)) else { continue };
             let restarted = |s: &Server| s.entry.started != entry.started; // nothing known of it holds
-            if entry.state == ServerState::Gone || self.servers.get(&entry.id).is_some_and(restarted) {
+            let gone = entry.state == ServerState::Gone;
+            if gone || self.servers.get(&entry.id).is_some_and(restarted) {
                 self.servers.remove(&entry.id);
             }
-            if entry.state == ServerState::Gone {
-                continue;
-            }
+            let kind = self.settings.kinds.get(usize::from(entry.kind.0));
+            let Some(kind) = kind.filter(|_| !gone) else { continue };
             let (role, memory, weight) = (kind.role, kind.memory_tokens as f64, entry.weight);
             let pause = self.cold_pause(role, 1.0) as f64 * self.rng.random::<f64>();
             let cold_until = now + pause as Micros;
@@ -910,8 +914,8 @@
             self.servers.entry(entry.id).or_insert_with(fresh).entry = entry;
         }
         self.out = self.servers.values().map(|server| server.out).sum();
-        let takes = |s: &Server| s.entry.state == ServerState::Ready && s.entry.weight > 0.0;
-        self.roster.list(LOOK_AT, self.servers.iter().map(|(id, s)| (*id, s.role, s.entry.cell, takes(s))));
+        let each = |(id, s): (&ServerId, &Server)| (*id, s.role, s.entry.cell, s.entry.takes_work());
+        self.roster.list(LOOK_AT, self.servers.iter().map(each));
         self.weigh();
         self.average(now);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -358,6 +358,11 @@
 }
 
 impl ServerEntry {
+    /// Whether it wants new work at all.
+    pub fn takes_work(&self) -> bool {
+        self.state == ServerState::Ready && self.weight > 0.0
+    }
+
     /// A ready server of the first kind in the first zone and cell.
     pub fn plain() -> Self {
         ServerEntry {
--- a/src/program/cli/mod.rs
+++ b/src/program/cli/mod.rs
@@ -18,6 +18,7 @@
 use crate::documents::read::Source;
 use crate::documents::report::Shown;
 use crate::membership::Refusal;
+use crate::protocol::figures;
 
 /// A conductor for disaggregated LLM serving: it sends each prompt to the reader and the writer that suit it
 /// best, and passes the answer on.
@@ -120,8 +121,8 @@
     let setup = Setup::read(operator)?;
     log::start(&setup.operator.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let totals = runtime.block_on(async { Life::start(setup).await?.run().await })?;
-    println!("{totals}");
+    let counted = runtime.block_on(async { Life::start(setup).await?.run().await })?;
+    println!("{}", figures::line(&counted.figures()));
     Ok(())
 }
 
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -17,7 +17,8 @@
 use crate::documents::read::Source;
 use crate::interface::Micros;
 use crate::protocol::config::Config;
-use crate::routing::{Core, Totals};
+use crate::protocol::figures;
+use crate::routing::Core;
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
 use crate::transport::export;
@@ -25,6 +26,7 @@
 use crate::transport::front::operators::{self, Operators, OperatorsListener};
 use crate::transport::front::platform::{self, Front};
 use crate::transport::front::rpc::RpcFront;
+use crate::transport::hub::message::Counted;
 use crate::transport::hub::{self, message::Hub};
 use crate::transport::inherited::inherited;
 use crate::transport::peer::{Common, Dialect, connector};
@@ -153,7 +155,8 @@
         let names = config.settings.clone().names();
         let client = connector::client(links, budget.peers.clone());
         let fields = names.report.clone().into();
-        actor.add_pool(Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields });
+        let common = Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields };
+        actor.add_pool(common, names.classes.clone());
         let shared = accept.is_some();
         let listener = match accept {
             Some(accept) => Listener::adopt(accept, budget.fronts.clone())?,
@@ -168,7 +171,7 @@
         };
         let mut rpc_front = None;
         if let Some((rpc, pool)) = tools_pool {
-            actor.add_pool(tools::common(rpc, pool, &hub));
+            actor.add_pool(tools::common(rpc, pool, &hub), rpc.names.classes.clone());
             let address = rpc.listen.as_deref().ok_or(ProgramError::NoFront)?;
             rpc_front = Some((listen(address, &budget).await?, rpc, pool));
         }
@@ -235,10 +238,10 @@
     }
 
     /// Serves until SIGTERM, then finishes; gives the counters at the end.
-    pub async fn run(mut self) -> Result<Totals, ProgramError> {
+    pub async fn run(mut self) -> Result<Counted, ProgramError> {
         let mut serving = JoinSet::new();
         if let Some(admin) = self.admin {
-            let operators = Operators { ready: self.ready.subscribe() };
+            let operators = Operators { ready: self.ready.subscribe(), hub: self.hub.clone() };
             tokio::spawn(admin.serve(operators::routes(operators)));
         }
         let own = !self.shared;
@@ -270,7 +273,7 @@
                     self.ready.send_replace(true);
                 }
                 _ = self.terminate.recv() => break,
-                _ = self.report.recv() => println!("{}", self.hub.totals().await),
+                _ = self.report.recv() => println!("{}", figures::line(&self.hub.counted().await.figures())),
                 Some(ended) = serving.join_next() => ended.map_err(io::Error::other)?,
             }
         }
@@ -281,9 +284,9 @@
         let left = (self.longest + BEFORE_KILL).saturating_sub(STILL_OPEN);
         // What is still open then would be cut off by the kill as well.
         let _ = tokio::time::timeout(left, async { while serving.join_next().await.is_some() {} }).await;
-        let totals = self.hub.totals().await;
+        let counted = self.hub.counted().await;
         self.phase.send_replace(Phase::Ended);
-        Ok(totals)
+        Ok(counted)
     }
 }
 
--- a/src/program/plugin.rs
+++ b/src/program/plugin.rs
@@ -43,14 +43,14 @@
         let mut core = Core::default();
         let pool = core.add_pool(rpc.settings.clone(), seed, clock.now())?;
         let (mut actor, hub) = hub::new(core, clock, budget);
-        actor.add_pool(tools::common(&rpc, pool, &hub));
+        actor.add_pool(tools::common(&rpc, pool, &hub), rpc.names.classes.clone());
         tokio::spawn(actor.run());
         Ok(Plugin { relay: tools::start(&rpc, pool, &hub, clock, format!("{name}-{seed:x}")).await? })
     }
 
     /// The counters.
     pub async fn totals(&self) -> Totals {
-        self.hub().totals().await
+        self.hub().counted().await.totals
     }
 
     fn hub(&self) -> &Hub {
--- a/src/protocol/collectd.rs
+++ b/src/protocol/collectd.rs
@@ -2,13 +2,15 @@
 
 use std::fmt::Write;
 
-/// The counter that is a level; the others only grow.
-const LEVEL: &str = "open";
+use super::figures::{Figure, Kind};
 
-/// A PUTVAL command for each named counter.
-pub fn putvals(host: &str, counters: &[(&str, u64)], every_s: f64, unix_s: u64) -> String {
-    counters.iter().fold(String::new(), |mut text, (name, value)| {
-        let kind = if *name == LEVEL { "gauge" } else { "derive" };
+/// A PUTVAL command for each figure.
+pub fn putvals(host: &str, figures: &[Figure], every_s: f64, unix_s: u64) -> String {
+    figures.iter().fold(String::new(), |mut text, Figure { name, value, kind }| {
+        let kind = match kind {
+            Kind::Counter => "derive",
+            Kind::Gauge => "gauge",
+        };
         // Writing to a String can't fail.
         let _ =
             writeln!(text, "PUTVAL \"{host}/birchspur/{kind}-{name}\" interval={every_s} {unix_s}:{value}");
--- a/src/protocol/graphite.rs
+++ b/src/protocol/graphite.rs
@@ -2,9 +2,11 @@
 
 use std::fmt::Write;
 
-/// The lines for named counters.
-pub fn lines(prefix: &str, counters: &[(&str, u64)], unix_s: u64) -> String {
-    counters.iter().fold(String::new(), |mut text, (name, value)| {
+use super::figures::Figure;
+
+/// The lines for figures.
+pub fn lines(prefix: &str, figures: &[Figure], unix_s: u64) -> String {
+    figures.iter().fold(String::new(), |mut text, Figure { name, value, .. }| {
         // Writing to a String can't fail.
         let _ = writeln!(text, "{prefix}.{name} {value} {unix_s}");
         text
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod collectd;
 pub mod config;
+pub mod figures;
 pub mod framing;
 pub mod graphite;
 pub mod jsonrpc;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use super::totals::{End, Handled, Totals};
 use crate::choice::Router;
 use crate::interface::*;
 
@@ -34,6 +35,8 @@
     List(PoolId, u64, ListUpdate),
     /// The first event of an attempt's answer is here.
     Started(RequestId, u32),
+    /// The last byte of an attempt has been written to its server.
+    Written(RequestId, u32),
     /// An attempt has ended.
     Ended {
         /// The request.
@@ -115,46 +118,6 @@
     Forget(RequestId),
 }
 
-/// What has been taken in, sent and answered since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Totals {
-    /// Requests taken in.
-    pub taken: u64,
-    /// Attempts sent.
-    pub sent: u64,
-    /// Requests answered by a server, to the end.
-    pub served: u64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Requests failed.
-    pub failed: u64,
-    /// Answers that broke off after their start.
-    pub broken: u64,
-    /// Requests whose client left first.
-    pub gone: u64,
-    /// Probes sent.
-    pub probes: u64,
-    /// Requests open now.
-    pub open: u64,
-}
-
-impl Totals {
-    /// Each counter with its name; the last one is a level, the others only grow.
-    pub fn each(&self) -> [(&'static str, u64); 9] {
-        let Totals { taken, sent, served, refused, failed, broken, gone, probes, open } = *self;
-        let answered = [("served", served), ("refused", refused), ("failed", failed), ("broken", broken)];
-        let [a, b, c, d] = answered;
-        [("taken", taken), ("sent", sent), a, b, c, d, ("gone", gone), ("probes", probes), ("open", open)]
-    }
-}
-
-impl std::fmt::Display for Totals {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let parts = self.each().map(|(name, count)| format!("{name} {count}"));
-        f.write_str(&parts.join(", "))
-    }
-}
-
 struct Attempt {
     server: ServerId,
     sent: Micros,
@@ -162,10 +125,12 @@
     ended: Option<Outcome>,
     timed_out: bool,
     cancelled: bool,
+    written: bool,
 }
 
 struct Open {
     pool: PoolId,
+    class: ClassId,
     expires: Micros,
     attempts: Vec<Attempt>,
     owner: Option<u32>,
@@ -197,6 +162,8 @@
     settings: Settings,
     kinds: BTreeMap<ServerId, KindId>,
     generation: u64,
+    /// By class.
+    handled: Vec<Handled>,
 }
 
 /// See the module's text.
@@ -213,7 +180,8 @@
     /// Adds a router; its requests and servers are named by the id that is returned.
     pub fn add_pool(&mut self, settings: Settings, seed: u64, now: Micros) -> Result<PoolId, SettingsError> {
         let router = Router::new(settings.clone(), seed, now)?;
-        self.pools.push(Pool { router, settings, kinds: BTreeMap::new(), generation: 0 });
+        let handled = vec![Handled::default(); settings.classes.len()];
+        self.pools.push(Pool { router, settings, kinds: BTreeMap::new(), generation: 0, handled });
         Ok(PoolId(self.pools.len() as u8 - 1))
     }
 
@@ -228,8 +196,26 @@
     }
 
     /// The counters.
-    pub fn totals(&self) -> Totals {
-        Totals { open: self.open.values().filter(|o| !o.over).count() as u64, ..self.totals }
+    pub fn totals(&self, now: Micros) -> Totals {
+        let fleets = self.pools.iter().map(|pool| pool.router.fleet(now));
+        let (known, avoided) = fleets.fold((0, 0), |(a, b), (known, avoided)| (a + known, b + avoided));
+        let open = self.open.values().filter(|open| !open.over).count();
+        let [open, known, avoided] = [open, known, avoided].map(|count| count as u64);
+        Totals { open, known, avoided, ..self.totals }
+    }
+
+    /// How a pool's requests have ended, by class.
+    pub fn handled(&self, pool: PoolId) -> &[Handled] {
+        self.pools.get(usize::from(pool.0)).map_or(&[], |pool| &pool.handled)
+    }
+
+    fn count(&mut self, pool: PoolId, class: ClassId, end: End) {
+        let handled = self.pools.get_mut(usize::from(pool.0));
+        // A request of a class that does not exist fails, and counts under none.
+        if let Some(handled) = handled.and_then(|pool| pool.handled.get_mut(usize::from(class.0))) {
+            handled.count(end);
+        }
+        self.totals.count(end);
     }
 
     /// Runs the timers that are due.
@@ -273,6 +259,13 @@
                 self.drive(now, pool, Event::List(update), out);
             }
             Input::Started(id, attempt) => self.on_started(now, id, attempt, out),
+            Input::Written(id, attempt) => {
+                let attempts = self.open.get_mut(&id).map(|open| &mut open.attempts);
+                let attempt = attempts.and_then(|attempts| attempts.get_mut(attempt as usize));
+                if attempt.is_some_and(|a| !std::mem::replace(&mut a.written, true)) {
+                    self.totals.written += 1;
+                }
+            }
             Input::Ended { request, attempt, outcome, kept_tokens, report } => {
                 self.on_ended(now, request, attempt, (outcome, kept_tokens, report), out);
             }
@@ -297,8 +290,9 @@
     fn on_request(&mut self, now: Micros, admission: Admission, out: &mut Vec<Output>) {
         let Admission { pool, mut request, time_left } = admission;
         request.expires = now.saturating_add(time_left);
-        let (id, expires) = (request.id, request.expires);
-        let open = Open { pool, expires, attempts: Vec::new(), owner: None, over: false, letting_go: false };
+        let (id, class, expires) = (request.id, request.class, request.expires);
+        let attempts = Vec::new();
+        let open = Open { pool, class, expires, attempts, owner: None, over: false, letting_go: false };
         self.open.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), out);
@@ -337,14 +331,21 @@
             outcome = Outcome::TimedOut;
         }
         a.ended = Some(outcome);
-        if owned && !open.over {
-            open.over = true;
-            let count =
-                if outcome == Outcome::Served { &mut self.totals.served } else { &mut self.totals.broken };
-            *count += 1;
-        }
-        let (pool, server, took) = (open.pool, a.server, now.saturating_sub(a.sent));
+        let (pool, class) = (open.pool, open.class);
+        let (server, took) = (a.server, now.saturating_sub(a.sent));
+        let ends = owned && !open.over;
+        open.over |= owned;
         let settled = open.over;
+        // Only what was sent whole ends so; an empty body is written with the head, and not told of.
+        let whole = matches!(outcome, Outcome::Served | Outcome::Read | Outcome::Reset);
+        if whole && !std::mem::replace(&mut a.written, true) {
+            self.totals.written += 1;
+        }
+        match outcome {
+            _ if !ends => {}
+            Outcome::Served => self.count(pool, class, End::Served),
+            _ => self.count(pool, class, End::Broken),
+        }
         let ended = Ended { request: id, attempt, server, outcome, kept_tokens, settled, took, report };
         self.drive(now, pool, Event::Ended(ended), out);
         // The router may find no reader for a while: what the last one may have left must not stay pinned.
@@ -408,27 +409,28 @@
                 }
             }
             Action::Refuse { request, retry_after } => {
-                self.close(request)?;
-                self.totals.refused += 1;
+                let class = self.close(request)?.class;
+                self.count(pool, class, End::Refused);
                 out.push(Output::Refuse(request, retry_after));
             }
             Action::Fail(request) => {
                 let open = self.close(request)?;
                 let ran = |a: &Attempt| !a.reads && !a.ended.is_some_and(Outcome::never_ran);
-                let may_have_run = open.attempts.iter().any(ran);
+                let (class, may_have_run) = (open.class, open.attempts.iter().any(ran));
                 let step = self.pools.get(usize::from(pool.0)).map_or(0, |p| p.settings.step);
                 let overdue = now + step >= self.open.get(&request)?.expires;
-                self.totals.failed += 1;
+                self.count(pool, class, End::Failed);
                 out.push(Output::Fail { request, may_have_run, overdue });
             }
             Action::Move(request) => {
                 let open = self.open.get_mut(&request).filter(|open| open.owner.is_some() && !open.over)?;
                 open.over = true;
-                self.totals.broken += 1;
+                let class = open.class;
                 // Closing the attempt breaks the client's stream off.
                 let attempt = open.owner?;
                 let a = open.attempts.get_mut(attempt as usize)?;
                 a.cancelled = true;
+                self.count(pool, class, End::Broken);
                 out.push(Output::Cancel(request, attempt));
             }
             Action::Release(request) => self.release(now, pool, request, out),
@@ -478,7 +480,8 @@
         // Guards the rules against a send that must not go out: too many, too late, or after the answer.
         let moot = open.over || open.owner.is_some() || open.attempts.len() >= most || give_up <= now;
         let ended = moot.then_some(Outcome::NotSent);
-        open.attempts.push(Attempt { server, sent: now, reads, ended, timed_out: false, cancelled: false });
+        let (timed_out, cancelled, written) = (false, false, false);
+        open.attempts.push(Attempt { server, sent: now, reads, ended, timed_out, cancelled, written });
         if moot {
             return Some(Event::Ended(Ended {
                 request,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,5 +2,7 @@
 //! event and the time go in, outputs come out, in one synchronous call; the fronts and the plug-in share it.
 
 mod core;
+mod totals;
 
-pub use self::core::{Admission, Core, Input, Output, PoolId, Totals};
+pub use self::core::{Admission, Core, Input, Output, PoolId};
+pub use self::totals::{Handled, Totals};
--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -23,6 +23,9 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tower::Service;
 
+use crate::protocol::figures;
+use crate::transport::hub::message::Hub;
+
 /// Callers that may be connected at once; they are counted against the budget's reserve.
 pub const MOST_CALLERS: usize = 16;
 /// A call is whole, and its answer taken, within this.
@@ -37,11 +40,13 @@
 pub struct Operators {
     /// Whether the program can serve.
     pub ready: watch::Receiver<bool>,
+    /// Who counts.
+    pub hub: Hub,
 }
 
 /// The routes of the operators' front.
 pub fn routes(operators: Operators) -> Router {
-    Router::new().route("/healthcheck", get(health)).with_state(operators)
+    Router::new().route("/healthcheck", get(health)).route("/stats", get(stats)).with_state(operators)
 }
 
 async fn health(State(operators): State<Operators>) -> Response {
@@ -51,6 +56,11 @@
     }
 }
 
+async fn stats(State(operators): State<Operators>) -> Response {
+    let counted = operators.hub.counted().await;
+    (StatusCode::OK, figures::lines(&counted.service())).into_response()
+}
+
 /// Where operators call.
 pub struct OperatorsListener {
     listener: TcpListener,
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -10,7 +10,8 @@
 
 use crate::interface::*;
 use crate::membership::Generation;
-use crate::routing::{Admission, Input, PoolId, Totals};
+use crate::protocol::figures::Figure;
+use crate::routing::{Admission, Handled, Input, PoolId, Totals};
 use crate::transport::budget::Budget;
 
 /// What is sent to a server, the same at each attempt.
@@ -100,7 +101,50 @@
     /// A message for the server whose answer a request has, beside that answer.
     HandBack(RequestId, Arc<Payload>),
     /// Asks for the counters.
-    Totals(oneshot::Sender<Totals>),
+    Count(oneshot::Sender<Counted>),
+}
+
+/// What has been counted since the start, over all pools.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    /// All together.
+    pub totals: Totals,
+    /// By the class's name.
+    pub handled: Vec<(String, Handled)>,
+}
+
+impl Counted {
+    /// The figures that operators ask for, under the names that they use.
+    pub fn service(&self) -> Vec<Figure> {
+        let mut figures = Vec::new();
+        for (class, Handled { served, refused, failed }) in &self.handled {
+            let ends = [("passed", served), ("dropped", refused), ("bad_gateway", failed)];
+            figures
+                .extend(ends.map(|(end, count)| Figure::counter(format!("handled.{class}.{end}"), *count)));
+        }
+        let Totals { written, open, known, avoided, .. } = self.totals;
+        figures.push(Figure::counter("upstream_tries", written));
+        let levels = [("in_progress", open), ("known_instances", known), ("skipped_instances", avoided)];
+        figures.extend(levels.map(|(name, level)| Figure::gauge(name, level)));
+        figures
+    }
+
+    /// All figures: the program's own, then those.
+    pub fn figures(&self) -> Vec<Figure> {
+        let Totals { taken, sent, served, refused, failed, broken, gone, probes, open, .. } = self.totals;
+        let counters = [
+            ("taken", taken),
+            ("sent", sent),
+            ("served", served),
+            ("refused", refused),
+            ("failed", failed),
+            ("broken", broken),
+            ("gone", gone),
+            ("probes", probes),
+        ];
+        let counters = counters.map(|(name, count)| Figure::counter(name, count));
+        counters.into_iter().chain([Figure::gauge("open", open)]).chain(self.service()).collect()
+    }
 }
 
 /// The way to the module's actor.
@@ -120,12 +164,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         // After the last part of an answer this tells nothing new, and is passed over.
-        if let Err(mpsc::error::TrySendError::Full(message)) =
-            self.hub.inbox.try_send(Message::Input(Input::Gone(self.id)))
-        {
-            let hub = self.hub.clone();
-            tokio::spawn(async move { hub.send(message).await });
-        }
+        self.hub.tell(Message::Input(Input::Gone(self.id)));
     }
 }
 
@@ -164,10 +203,18 @@
         self.send(Message::HandBack(ticket.id, Arc::new(payload))).await;
     }
 
-    /// The counters.
-    pub async fn totals(&self) -> Totals {
-        let (sender, totals) = oneshot::channel();
-        self.send(Message::Totals(sender)).await;
-        totals.await.unwrap_or_default()
+    /// What has been counted.
+    pub async fn counted(&self) -> Counted {
+        let (sender, counted) = oneshot::channel();
+        self.send(Message::Count(sender)).await;
+        counted.await.unwrap_or_default()
+    }
+
+    /// Tells the module's actor something from where nothing can be waited for.
+    pub fn tell(&self, message: Message) {
+        if let Err(mpsc::error::TrySendError::Full(message)) = self.inbox.try_send(message) {
+            let hub = self.clone();
+            tokio::spawn(async move { hub.send(message).await });
+        }
     }
 }
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
-use self::message::{Body, Hub, Message, Payload, Reply};
+use self::message::{Body, Counted, Hub, Message, Payload, Reply};
 use super::budget::Budget;
 use super::clock::{self, Clock};
 use super::peer::{self, Attempt, Common, ToPeer};
 use crate::interface::*;
 use crate::membership::Generation;
-use crate::routing::{Core, Input, Output, PoolId};
+use crate::routing::{Core, Handled, Input, Output, PoolId};
 
 /// Messages that may wait for the module.
 const MAILBOX: usize = 4096;
@@ -47,6 +47,8 @@
 
 struct Pool {
     common: Common,
+    /// The names of its classes.
+    classes: Vec<String>,
     peers: HashMap<ServerId, PeerAt>,
 }
 
@@ -77,8 +79,8 @@
 
 impl Actor {
     /// Adds what the peers of the next pool share, in the order of the core's pools.
-    pub fn add_pool(&mut self, common: Common) {
-        self.pools.push(Pool { common, peers: HashMap::new() });
+    pub fn add_pool(&mut self, common: Common, classes: Vec<String>) {
+        self.pools.push(Pool { common, classes, peers: HashMap::new() });
     }
 
     /// Runs for as long as the program does.
@@ -134,12 +136,26 @@
                     let _ = owner.try_send(ToPeer::Post(payload));
                 }
             }
-            Message::Totals(sender) => {
-                let _ = sender.send(self.core.totals());
+            Message::Count(sender) => {
+                let _ = sender.send(self.counted(now));
             }
         }
     }
 
+    fn counted(&self, now: Micros) -> Counted {
+        let mut handled: Vec<(String, Handled)> = Vec::new();
+        for pool in &self.pools {
+            // Two pools may know a class by the same name.
+            for (name, ends) in pool.classes.iter().zip(self.core.handled(pool.common.pool)) {
+                match handled.iter_mut().find(|(known, _)| known == name) {
+                    Some((_, sum)) => *sum += *ends,
+                    None => handled.push((name.clone(), *ends)),
+                }
+            }
+        }
+        Counted { totals: self.core.totals(now), handled }
+    }
+
     /// Leaves the actors of peers that are gone to end by themselves, and tells those that have moved.
     fn settle(&mut self, pool: PoolId, generation: &Generation) {
         let Some(pool) = self.pools.get_mut(usize::from(pool.0)) else { return };
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -3,8 +3,8 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -78,17 +78,28 @@
     }
 }
 
+/// What is called when the last byte of a request has been written.
+pub type Told = Box<dyn FnOnce() + Send>;
+
 /// How far the request that is on a connection has got.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Progress {
     /// The body's last byte is in the connection's buffer.
     handed_over: AtomicBool,
     /// Since then, all that was buffered has been written.
     written: AtomicBool,
+    /// Who is told of that, once.
+    tell: Mutex<Option<Told>>,
     /// The last bytes that came do not end a head.
     amid: AtomicBool,
 }
 
+impl Progress {
+    fn told(&self) -> MutexGuard<'_, Option<Told>> {
+        self.tell.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// A connection to a peer.
 pub struct Link {
     io: TokioIo<TcpStream>,
@@ -144,7 +155,11 @@
     /// hyper flushes the socket only once its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.progress.handed_over.load(Ordering::Relaxed) {
-            self.progress.written.store(true, Ordering::Relaxed);
+            if !self.progress.written.swap(true, Ordering::Relaxed)
+                && let Some(tell) = self.progress.told().take()
+            {
+                tell();
+            }
         }
         Pin::new(&mut self.io).poll_flush(cx)
     }
@@ -159,20 +174,22 @@
     body: Option<Bytes>,
     link: Option<CaptureConnection>,
     asked: Arc<AtomicBool>,
+    tell: Option<Told>,
 }
 
 impl Tracked {
     /// An empty body, whose fate does not matter.
     pub fn empty() -> Self {
-        Tracked { body: None, link: None, asked: Arc::default() }
+        Tracked { body: None, link: None, asked: Arc::default(), tell: None }
     }
 
-    /// Gives a request its body, and what will tell its fate.
-    pub fn attach(mut head: http::Request<()>, body: Bytes) -> (http::Request<Tracked>, Fate) {
+    /// Gives a request its body, what is called when the last byte of that is written, and what will tell its fate.
+    pub fn attach(mut head: http::Request<()>, body: Bytes, tell: Told) -> (http::Request<Tracked>, Fate) {
         let link = capture_connection(&mut head);
         // An empty body is never asked for: what was last seen of the connection counts then.
         let asked = Arc::new(AtomicBool::new(body.is_empty()));
-        let body = Tracked { body: Some(body), link: Some(link.clone()), asked: asked.clone() };
+        let body =
+            Tracked { body: Some(body), link: Some(link.clone()), asked: asked.clone(), tell: Some(tell) };
         (head.map(|()| body), Fate { link, asked })
     }
 }
@@ -190,6 +207,7 @@
         if let Some(progress) = self.link.as_ref().and_then(progress) {
             progress.written.store(false, Ordering::Relaxed);
             progress.amid.store(false, Ordering::Relaxed);
+            *progress.told() = self.tell.take();
             progress.handed_over.store(true, Ordering::Relaxed);
         }
         Poll::Ready(Some(Ok(Frame::data(body))))
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -259,7 +259,9 @@
         let Some(head) = self.addressed(head, &payload.path) else {
             return End::of(Outcome::ConnectFailed);
         };
-        let (message, fate) = Tracked::attach(head, payload.body.clone());
+        let hub = self.common.hub.clone();
+        let written = Box::new(move || hub.tell(Message::Input(Input::Written(request, number))));
+        let (message, fate) = Tracked::attach(head, payload.body.clone(), written);
         drop(payload);
         let answered = select(self.common.client.request(message), Box::pin(fate.endless_head())).await;
         let response = match answered {
@@ -393,7 +395,7 @@
 
     async fn post(&self, payload: &Payload) {
         let Some(head) = self.addressed(payload.head(), &payload.path) else { return };
-        let (message, _) = Tracked::attach(head, payload.body.clone());
+        let (message, _) = Tracked::attach(head, payload.body.clone(), Box::new(|| {}));
         let within = Duration::from_micros(self.common.links.idle);
         let call = async {
             let response = self.common.client.request(message).await.ok()?;
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -212,6 +212,116 @@
     });
 }
 
+/// The figures as operators read them.
+async fn figures(admin: &str) -> std::collections::BTreeMap<String, u64> {
+    let answer = call(admin, "GET /stats").await;
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a whole answer");
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let figure = |line: &str| {
+        let (name, value) = line.strip_prefix("app.").expect(line).split_once(':').expect(line);
+        let value = value.strip_suffix("|c").or(value.strip_suffix("|g")).expect(line);
+        (name.to_string(), value.parse().expect(line))
+    };
+    body.lines().map(figure).collect()
+}
+
+/// Failure: figures that tell what was decided, not what happened: attempts that reached nobody, answers that
+/// broke, clients that left.
+#[test]
+fn the_figures_are_what_clients_and_servers_count() {
+    story(async {
+        let (mut reader, mut writer, dead) = (Peer::start().await, Peer::start().await, nowhere());
+        let mut leaving = member("s-old", &dead.address, "reader");
+        leaving["phase"] = json!("terminating");
+        let servers = [
+            member("s-r", &reader.address, "reader"),
+            member("s-w", &writer.address, "writer"),
+            leaving,
+            member("s-dead", &dead.address, "writer"),
+        ];
+        let mut config = config(&telling(servers.to_vec()).await, &servers);
+        config["admin"] = json!("127.0.0.1:0");
+        let conductor = Conductor::start_with(config, "").await;
+        let none = figures(&conductor.admin).await;
+        for name in [
+            "ask.passed",
+            "ask.dropped",
+            "ask.bad_gateway",
+            "book.passed",
+            "book.dropped",
+            "book.bad_gateway",
+        ] {
+            assert_eq!(none[&format!("handled.{name}")], 0, "each class is there from the start");
+        }
+        assert_eq!((none["known_instances"], none["skipped_instances"]), (4, 1), "one is leaving");
+        let mut seen_whole = 0;
+        for n in 0..6 {
+            let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
+            read(&mut reader).await;
+            let mut seen = writer.next().await;
+            seen_whole += 2;
+            seen.begin().await;
+            seen.chunk("data: {}\n\n").await;
+            if n < 4 {
+                seen.chunk("data: [DONE]\n\n").await;
+                seen.end().await;
+                client.until("0\r\n\r\n").await.expect("a whole answer");
+            } else {
+                client.until("data: {}\n\n").await.expect("the first event");
+                drop(seen);
+                assert_eq!(client.rest().await, "\r\n", "it breaks off");
+            }
+        }
+        // Nobody knows whether this one has run.
+        let mut client = conductor.ask("b1", "book", 9000).await;
+        read(&mut reader).await;
+        drop(writer.next().await);
+        seen_whole += 2;
+        assert!(client.until("\r\n").await.expect("a head").contains("500"));
+        let mut client = conductor.ask("b2", "book", 9000).await;
+        let turned_away = tokio::spawn(async move {
+            let mut count = 0;
+            loop {
+                tokio::select! {
+                    mut seen = reader.next() => {
+                        seen.answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "").await;
+                        seen.go_on();
+                        count += 1;
+                    }
+                    answer = client.until("\r\n") => {
+                        assert!(answer.expect("a head").contains("503"));
+                        return (count, reader);
+                    }
+                }
+            }
+        });
+        let (count, mut reader) = turned_away.await.expect("it is answered");
+        seen_whole += count;
+        let _waits = conductor.ask("c9", "ask", 4000).await;
+        let leaves = conductor.ask("c10", "ask", 4000).await;
+        let _held = [reader.next().await, reader.next().await];
+        seen_whole += 2;
+        drop(leaves);
+        let told = loop {
+            let told = figures(&conductor.admin).await;
+            if told["in_progress"] == 1 {
+                break told;
+            }
+        };
+        assert_eq!(told["upstream_tries"], seen_whole, "{told:?}");
+        assert_eq!((told["handled.ask.passed"], told["handled.ask.bad_gateway"]), (4, 2), "{told:?}");
+        assert_eq!((told["handled.book.dropped"], told["handled.book.bad_gateway"]), (1, 1), "{told:?}");
+        assert_eq!((told["handled.ask.dropped"], told["handled.book.passed"]), (0, 0), "{told:?}");
+        assert!(told["skipped_instances"] >= 1, "the dead writer is avoided, if it was met: {told:?}");
+    });
+}
+
+async fn read(reader: &mut Peer) {
+    let mut seen = reader.next().await;
+    seen.answer("202 Accepted", "", "{\"cached_tokens\":0}").await;
+    seen.go_on();
+}
+
 fn long_body() -> String {
     format!(
         "GET /healthcheck HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n{}",
