Send clients away and take them back, by a state machine of the program's phases

Change: recovery::drain holds the phases (a new one: Away) and says which resting connections to close and when; the fronts' lines feed it and carry it out. POST /healthcheck/fail and /healthcheck/ok are followed at once; SIGTERM in any phase goes the same way, in place of hyper's graceful shutdown of all connections at one moment. Answers made while clients are sent off say Connection: close, unless a further request has come already. Before a resting connection is closed the gate reads once more past what the runtime has heard of, so that a request that has just come is taken. After a last answer what the client has sent behind it is passed over for up to 0.2 s, so that the answer is not reset away.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod pace;
 pub mod program;
 pub mod protocol;
+pub mod recovery;
 pub mod roster;
 pub mod routing;
 pub mod transport;
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -18,11 +18,13 @@
 use crate::interface::Micros;
 use crate::protocol::config::Config;
 use crate::protocol::figures;
+use crate::recovery::{Input, Phase, Socket};
 use crate::routing::Core;
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
 use crate::transport::export;
 use crate::transport::front::door::Listener;
+use crate::transport::front::line::Lines;
 use crate::transport::front::operators::{self, Operators, OperatorsListener};
 use crate::transport::front::platform::{self, Front};
 use crate::transport::front::rpc::RpcFront;
@@ -31,8 +33,6 @@
 use crate::transport::inherited::inherited;
 use crate::transport::peer::{Common, Dialect, connector};
 
-/// After SIGTERM new connections still come for a while, and are taken for this long.
-const STILL_OPEN: Duration = Duration::from_millis(600);
 /// The deadline is counted as at least this by those who send SIGKILL...
 const LEAST_DEADLINE: Micros = 3_000_000;
 /// ... which comes this long after it at the earliest; the program exits a little ahead.
@@ -44,21 +44,6 @@
 /// Clients are taken on without discovery's first answer after this: the known list has to do.
 const PATIENCE: Duration = Duration::from_secs(3);
 
-/// Where the program stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Nothing is promised yet.
-    Starting,
-    /// Clients are served.
-    Serving,
-    /// It was told to end: whoever comes is still served, but nobody is invited.
-    Draining,
-    /// No new connections; what is open is finished.
-    Closing,
-    /// All is answered, or the time is over.
-    Ended,
-}
-
 /// All that the program is told at its start.
 pub struct Setup {
     /// The platform's configuration.
@@ -117,13 +102,10 @@
 
 /// One run of the program.
 pub struct Life {
-    phase: watch::Sender<Phase>,
-    ready: watch::Sender<bool>,
+    lines: Lines,
     hub: Hub,
     front: Front,
     listener: Listener,
-    /// Others hold the clients' listening socket too.
-    shared: bool,
     admin: Option<OperatorsListener>,
     rpc: Option<(Listener, axum::Router)>,
     heard: watch::Receiver<bool>,
@@ -138,7 +120,9 @@
         let Setup { config, operator, file, accept } = setup;
         let (terminate, report) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
         let hangup = signal(SignalKind::hangup())?;
-        let (clock, budget, seed) = (Clock::start(), Budget::new(config.limits.sockets), config.seed()?);
+        let (clock, seed) = (Clock::start(), config.seed()?);
+        let socket = if accept.is_some() { Socket::Shared } else { Socket::Own };
+        let budget = Budget::new(config.limits.sockets, socket, clock);
         let (settings, links) = (config.settings.settings()?, config.settings.links()?);
         let mut classes = settings.classes.clone();
         let mut core = Core::default();
@@ -157,7 +141,6 @@
         let fields = names.report.clone().into();
         let common = Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields };
         actor.add_pool(common, names.classes.clone());
-        let shared = accept.is_some();
         let listener = match accept {
             Some(accept) => Listener::adopt(accept, budget.fronts.clone())?,
             None => listen(&config.listen, &budget).await?,
@@ -203,15 +186,13 @@
             known: Known::List(&config.known),
         };
         let heard = list.run(&hub, clock).await?;
-        let (ready, is_ready) = watch::channel(false);
-        let front = Front { hub: hub.clone(), pool, names: Arc::new(names), ready: is_ready };
+        let lines = budget.fronts;
+        let front = Front { hub: hub.clone(), pool, names: Arc::new(names), phase: lines.phases() };
         Ok(Life {
-            phase: watch::Sender::new(Phase::Starting),
-            ready,
+            lines,
             hub,
             front,
             listener,
-            shared,
             admin,
             rpc,
             heard,
@@ -223,7 +204,7 @@
 
     /// The phases as they come.
     pub fn phases(&self) -> watch::Receiver<Phase> {
-        self.phase.subscribe()
+        self.lines.phases()
     }
 
     /// Where clients of the platform connect, and those of the JSON-RPC front if it is set up.
@@ -240,52 +221,34 @@
     /// Serves until SIGTERM, then finishes; gives the counters at the end.
     pub async fn run(mut self) -> Result<Counted, ProgramError> {
         let mut serving = JoinSet::new();
+        tokio::spawn(self.lines.clone().keep_time());
         if let Some(admin) = self.admin {
-            let operators = Operators { ready: self.ready.subscribe(), hub: self.hub.clone() };
+            let operators = Operators { lines: self.lines.clone(), hub: self.hub.clone() };
             tokio::spawn(admin.serve(operators::routes(operators)));
         }
-        let own = !self.shared;
-        for (listener, routes, own) in [(self.listener, platform::routes(self.front), own)]
-            .into_iter()
-            .chain(self.rpc.map(|(listener, routes)| (listener, routes, true)))
-        {
-            // Whoever waits at a shared socket is another process's too: they are taken only while this one
-            // can serve, and not for a moment after it was told to end.
-            let (from, to) =
-                if own { (Phase::Starting, Phase::Closing) } else { (Phase::Serving, Phase::Draining) };
-            let mut phases = self.phase.subscribe();
-            serving.spawn(async move {
-                let _ = phases.wait_for(|phase| *phase >= from).await;
-                let closing = async move {
-                    let _ = phases.wait_for(|phase| *phase >= to).await;
-                };
-                listener.serve(routes, closing).await;
-            });
+        serving.spawn(self.listener.serve(platform::routes(self.front)));
+        if let Some((listener, routes)) = self.rpc {
+            serving.spawn(listener.serve(routes));
         }
         let mut heard = self.heard;
         let heard = async { heard.wait_for(|heard| *heard).await.is_ok() };
         let mut known = pin!(tokio::time::timeout(PATIENCE, heard));
+        let phases = self.lines.phases();
         loop {
-            let starting = *self.phase.borrow() == Phase::Starting;
+            let starting = *phases.borrow() == Phase::Starting;
             tokio::select! {
-                _ = &mut known, if starting => {
-                    self.phase.send_replace(Phase::Serving);
-                    self.ready.send_replace(true);
-                }
+                _ = &mut known, if starting => self.lines.feed(Input::Able),
                 _ = self.terminate.recv() => break,
                 _ = self.report.recv() => println!("{}", figures::line(&self.hub.counted().await.figures())),
                 Some(ended) = serving.join_next() => ended.map_err(io::Error::other)?,
             }
         }
-        self.ready.send_replace(false);
-        self.phase.send_replace(Phase::Draining);
-        tokio::time::sleep(STILL_OPEN).await;
-        self.phase.send_replace(Phase::Closing);
-        let left = (self.longest + BEFORE_KILL).saturating_sub(STILL_OPEN);
+        self.lines.feed(Input::Terminate);
         // What is still open then would be cut off by the kill as well.
-        let _ = tokio::time::timeout(left, async { while serving.join_next().await.is_some() {} }).await;
+        let ended = async { while serving.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(self.longest + BEFORE_KILL, ended).await;
         let counted = self.hub.counted().await;
-        self.phase.send_replace(Phase::Ended);
+        self.lines.feed(Input::Done);
         Ok(counted)
     }
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -8,6 +8,7 @@
 mod site;
 mod tools;
 
+pub use crate::recovery::Phase;
 pub use error::ProgramError;
-pub use life::{Life, Phase, Setup};
+pub use life::{Life, Setup};
 pub use plugin::{Plugin, ToolCall};
--- a/src/program/plugin.rs
+++ b/src/program/plugin.rs
@@ -11,6 +11,7 @@
 use super::tools;
 use crate::documents::operator::Rpc;
 use crate::protocol::jsonrpc::{CALL, RpcError};
+use crate::recovery::Socket;
 use crate::routing::{Core, Totals};
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
@@ -39,7 +40,8 @@
     /// Starts the core and the actors for the tool servers. `name` opens the ids of calls and has to be
     /// another one in each process; at most `sockets` descriptors are used.
     pub async fn start(rpc: Rpc, name: &str, seed: u64, sockets: usize) -> Result<Self, ProgramError> {
-        let (clock, budget) = (Clock::start(), Budget::new(sockets));
+        let clock = Clock::start();
+        let budget = Budget::new(sockets, Socket::Own, clock);
         let mut core = Core::default();
         let pool = core.add_pool(rpc.settings.clone(), seed, clock.now())?;
         let (mut actor, hub) = hub::new(core, clock, budget);
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -4,7 +4,9 @@
 
 use tokio::sync::Semaphore;
 
+use super::clock::Clock;
 use super::front::line::Lines;
+use crate::recovery::Socket;
 
 /// Part of the rest that is for clients. Each has at most one call to a peer out; what peers have beyond that
 /// is for idle connections, probes and leases.
@@ -22,10 +24,10 @@
 }
 
 impl Budget {
-    /// Splits so many descriptors.
-    pub fn new(sockets: usize) -> Self {
+    /// Splits so many descriptors; clients come at such a socket.
+    pub fn new(sockets: usize, socket: Socket, clock: Clock) -> Self {
         let all = sockets.saturating_sub(RESERVED);
         let fronts = (all as f64 * FRONTS) as usize;
-        Budget { fronts: Lines::new(fronts), peers: Arc::new(Semaphore::new(all - fronts)) }
+        Budget { fronts: Lines::new(fronts, socket, clock), peers: Arc::new(Semaphore::new(all - fronts)) }
     }
 }
--- a/src/transport/front/door.rs
+++ b/src/transport/front/door.rs
@@ -3,8 +3,8 @@
 //! takes a head with two framings for a good one.
 
 use std::convert::Infallible;
-use std::future::Future;
-use std::io;
+use std::future::{Future, poll_fn};
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -21,24 +21,28 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tower::Service;
 
 use super::line::{Line, Lines, Place};
 use crate::protocol::framing::{Framing, framing};
+use crate::recovery::{Phase, Socket};
 
 /// Bytes read at once while a head is awaited.
 const READ: usize = 2048;
 /// What no parser takes for a head: hyper answers it with 400 and closes.
 const NO_HEAD: &[u8] = b"-\r\n\r\n";
+/// So much of what comes behind the last answer is passed over.
+const PASSED_OVER: usize = 64 * 1024;
 
 /// A listener that takes no more connections than the budget has room for; others wait in the kernel's queue.
 pub struct Listener {
     listener: TcpListener,
+    socket: Socket,
     lines: Lines,
 }
 
@@ -49,12 +53,12 @@
 impl Listener {
     /// Listens on an address.
     pub async fn bind(address: &str, lines: Lines) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::bind(address).await?, lines })
+        Ok(Listener { listener: TcpListener::bind(address).await?, socket: Socket::Own, lines })
     }
 
     /// Listens on a socket that somebody else opened, and that others may hold as well.
     pub fn adopt(listener: std::net::TcpListener, lines: Lines) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::from_std(listener)?, lines })
+        Ok(Listener { listener: TcpListener::from_std(listener)?, socket: Socket::Shared, lines })
     }
 
     /// Where it listens.
@@ -70,7 +74,14 @@
                     // Without it events would wait for the client's acknowledgements; the rest still works.
                     let _ = stream.set_nodelay(true);
                     let place = self.lines.enter(permit);
-                    return Gate { stream, place, held: BytesMut::new(), pass: 0, reading: Reading::Head };
+                    return Gate {
+                        stream,
+                        place,
+                        held: BytesMut::new(),
+                        pass: 0,
+                        reading: Reading::Head,
+                        passed_over: 0,
+                    };
                 }
                 // A connection that is gone already, or descriptors that ran out all the same.
                 Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
@@ -78,44 +89,48 @@
         }
     }
 
-    /// Serves until `closing`, then takes no more connections and finishes what is open.
-    pub async fn serve(self, routes: Router, closing: impl Future<Output = ()>) {
-        let mut closing = pin!(closing);
-        let (close, closes) = watch::channel(false);
+    /// Serves in the phases in which connections are taken here, then finishes what is open. The own descriptor is
+    /// closed, and no more: others may go on with the socket.
+    pub async fn serve(self, routes: Router) {
+        let mut phases = self.lines.phases();
+        let socket = self.socket;
+        let _ = phases.wait_for(|phase| phase.takes(socket) || *phase >= Phase::Draining).await;
         let mut open = JoinSet::new();
         loop {
             tokio::select! {
                 biased;
-                () = &mut closing => break,
-                gate = self.accept() => drop(open.spawn(tend(gate, routes.clone(), closes.clone()))),
+                _ = phases.wait_for(|phase| !phase.takes(socket)) => break,
+                gate = self.accept() => drop(open.spawn(tend(gate, routes.clone()))),
                 Some(_) = open.join_next() => {}
             }
         }
         drop(self);
-        close.send_replace(true);
         while open.join_next().await.is_some() {}
     }
 }
 
-/// Serves one connection until it ends, is idle or late for too long, or has to make room.
-async fn tend(gate: Gate, routes: Router, mut closes: watch::Receiver<bool>) {
+/// Serves one connection until it ends, is idle or late for too long, or has to go.
+async fn tend(gate: Gate, routes: Router) {
     let line = gate.place.line.clone();
     let service = service_fn(|request| answer(request, routes.clone(), line.clone()));
     let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
-    let mut closing = false;
     loop {
         let ends = line.ends();
         if ends.is_some_and(|at| at <= Instant::now()) {
-            return;
+            if !line.overdue() {
+                return;
+            }
+            // The gate looks once more for a request that has just come, and ends the connection if there is none.
+            let ended = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await;
+            if ended || line.evicted() {
+                return;
+            }
+            continue;
         }
         tokio::select! {
             _ = connection.as_mut() => return,
             () = line.stirred.notified() => {}
             () = crate::transport::clock::sleep_until(ends) => {}
-            _ = closes.wait_for(|closes| *closes), if !closing => {
-                closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
         }
     }
 }
@@ -131,6 +146,7 @@
     let mut last = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = routes.call(request).await?;
     last |= [StatusCode::REQUEST_TIMEOUT, StatusCode::PAYLOAD_TOO_LARGE].contains(&response.status());
+    last |= busy.0.is_last();
     if last {
         // The gate does not know where such a request ends: nothing behind it may be taken for another.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -189,6 +205,8 @@
     /// So much of what is held may pass.
     pass: usize,
     reading: Reading,
+    /// So much has been passed over behind the last answer.
+    passed_over: usize,
 }
 
 impl Gate {
@@ -218,6 +236,9 @@
         out.put_slice(&self.held[..most]);
         self.held.advance(most);
         self.pass -= most;
+        if most > 0 && self.pass == 0 && matches!(self.reading, Reading::Head) {
+            self.place.line.ahead(!self.held.is_empty());
+        }
         most > 0
     }
 }
@@ -247,7 +268,14 @@
                     }
                     let mut space = [0; READ];
                     let mut part = ReadBuf::new(&mut space);
-                    ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                    if gate.held.is_empty() && gate.place.line.evicted() {
+                        // Past what the runtime has heard of: it may have come since. Anything else is the end.
+                        let came =
+                            (&*SockRef::from(&gate.stream)).read(part.initialize_unfilled()).unwrap_or(0);
+                        part.advance(came);
+                    } else {
+                        ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                    }
                     if part.filled().is_empty() {
                         return Poll::Ready(Ok(()));
                     }
@@ -307,6 +335,17 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let gate = &mut *self;
+        ready!(Pin::new(&mut gate.stream).poll_shutdown(cx))?;
+        while gate.place.line.is_over() && gate.passed_over < PASSED_OVER {
+            let mut space = [0; READ];
+            let mut part = ReadBuf::new(&mut space);
+            ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+            match part.filled().len() {
+                0 => break,
+                more => gate.passed_over += more,
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/src/transport/front/line.rs
+++ b/src/transport/front/line.rs
@@ -5,9 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::Instant;
 
+use crate::recovery::{Call, Drain, Input, LineId, Output, Phase, Socket, TooLate};
+use crate::transport::clock::{self, Clock};
+
 /// A connection that has never asked is closed after this: those who connect and say nothing are owed a close.
 const MUTE: Duration = Duration::from_millis(2_200);
 /// One that has been answered may rest for this long while there is room.
@@ -17,6 +20,9 @@
 const WHOLE_WITHIN: Duration = Duration::from_millis(2_500);
 /// One that has been silent for less is not closed for want of room: its request may be on the way.
 const LEAST_REST: Duration = Duration::from_millis(50);
+/// After the last answer the client's end is waited for so long: what it has sent meanwhile would otherwise have the
+/// connection reset, and with it what it has not read yet of the answer.
+const LINGER: Duration = Duration::from_millis(200);
 /// When no connection can make room, this is waited for one to end.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -30,6 +36,8 @@
     Open,
     /// Its answer is made, but not all of it is written.
     Answered,
+    /// The last answer is written: only its client's own end is waited for.
+    Over,
 }
 
 struct State {
@@ -39,21 +47,28 @@
     due: Instant,
     fresh: bool,
     evicted: bool,
+    /// Bytes of a further request have come already.
+    ahead: bool,
+    /// The answer says that it is the last one.
+    last: bool,
 }
 
 /// One connection.
 pub struct Line {
+    id: LineId,
+    drain: Arc<Parting>,
     state: Mutex<State>,
     /// It has become quiet, or has to go.
     pub stirred: Notify,
 }
 
 impl Line {
-    fn new() -> Self {
+    fn new(id: LineId, drain: Arc<Parting>) -> Self {
         let since = Instant::now();
         let due = since + WHOLE_WITHIN;
-        let state = State { stage: Stage::Quiet, since, due, fresh: true, evicted: false };
-        Line { state: Mutex::new(state), stirred: Notify::new() }
+        let (stage, fresh, evicted, ahead, last) = (Stage::Quiet, true, false, false, false);
+        let state = State { stage, since, due, fresh, evicted, ahead, last };
+        Line { id, drain, state: Mutex::new(state), stirred: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -64,13 +79,52 @@
     pub fn arriving(&self) {
         let mut state = self.state();
         if state.stage == Stage::Quiet {
-            (state.stage, state.since) = (Stage::Head, Instant::now());
+            (state.stage, state.since, state.evicted) = (Stage::Head, Instant::now(), false);
             if !state.fresh {
                 state.due = state.since + WHOLE_WITHIN;
             }
+            drop(state);
+            self.drain.feed(Input::Asked(self.id));
         }
     }
 
+    /// Whether bytes of a further request have come behind the one that is open.
+    pub fn ahead(&self, ahead: bool) {
+        self.state().ahead = ahead;
+    }
+
+    /// Whether the answer in the making is to be the last one here: clients are sent off, and this one has not
+    /// asked again yet.
+    pub fn is_last(&self) -> bool {
+        let mut state = self.state();
+        state.last = self.drain.phase.borrow().sends_off() && !state.ahead;
+        state.last
+    }
+
+    /// It is to be closed, unless a request has begun on it.
+    pub fn evict(&self) {
+        self.state().evicted = true;
+        self.stirred.notify_one();
+    }
+
+    /// Whether it is to be closed and still rests.
+    pub fn evicted(&self) -> bool {
+        let state = self.state();
+        state.evicted && state.stage == Stage::Quiet
+    }
+
+    /// Its time is over: a resting one is to be closed from now on. False if it does not rest.
+    pub fn overdue(&self) -> bool {
+        let mut state = self.state();
+        state.evicted |= state.stage == Stage::Quiet;
+        state.stage == Stage::Quiet
+    }
+
+    /// Whether its last answer is written, and what its client still sends is to be passed over.
+    pub fn is_over(&self) -> bool {
+        self.state().stage == Stage::Over
+    }
+
     /// A head is complete; gives the time by which its body has to be.
     pub fn open(&self) -> Instant {
         let mut state = self.state();
@@ -79,7 +133,10 @@
             state.due = Instant::now() + WHOLE_WITHIN;
         }
         (state.stage, state.fresh) = (Stage::Open, false);
-        state.due
+        let due = state.due;
+        drop(state);
+        self.drain.feed(Input::Asked(self.id));
+        due
     }
 
     /// The answer is made.
@@ -91,8 +148,13 @@
     pub fn flushed(&self) {
         let mut state = self.state();
         if state.stage == Stage::Answered {
-            (state.stage, state.since) = (Stage::Quiet, Instant::now());
+            let (stage, told) = match state.last {
+                true => (Stage::Over, Input::Ended(self.id)),
+                false => (Stage::Quiet, Input::Answered(self.id)),
+            };
+            (state.stage, state.since) = (stage, Instant::now());
             drop(state);
+            self.drain.feed(told);
             self.stirred.notify_one();
         }
     }
@@ -104,41 +166,115 @@
             Stage::Quiet if state.evicted => Some(state.since),
             Stage::Quiet => Some(state.since + if state.fresh { MUTE } else { RESTING }),
             Stage::Head => Some(state.due),
+            Stage::Over => Some(state.since + LINGER),
             Stage::Open | Stage::Answered => None,
         }
     }
 }
 
+/// The phases, and what they mean for each connection, as they are carried out.
+struct Parting {
+    clock: Clock,
+    drain: Mutex<Drain>,
+    phase: watch::Sender<Phase>,
+    /// The time of the next thing due may have changed.
+    stirred: Notify,
+    open: Mutex<HashMap<LineId, Arc<Line>>>,
+}
+
+impl Parting {
+    fn open(&self) -> MutexGuard<'_, HashMap<LineId, Arc<Line>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Drain, crate::interface::Micros, &mut Vec<Output>) -> T) -> T {
+        let mut out = Vec::new();
+        let mut drain = self.drain.lock().unwrap_or_else(PoisonError::into_inner);
+        let done = act(&mut drain, self.clock.now(), &mut out);
+        drop(drain);
+        for output in out {
+            match output {
+                Output::Enter(phase) => drop(self.phase.send_replace(phase)),
+                Output::Close(line) => {
+                    if let Some(line) = self.open().get(&line) {
+                        line.evict();
+                    }
+                }
+            }
+        }
+        done
+    }
+
+    fn feed(&self, input: Input) {
+        self.with(|drain, now, out| drain.handle(now, input, out));
+        self.stirred.notify_one();
+    }
+}
+
 /// All connections of clients, over all fronts.
 #[derive(Clone)]
 pub struct Lines {
     permits: Arc<Semaphore>,
-    open: Arc<Mutex<HashMap<usize, Arc<Line>>>>,
+    drain: Arc<Parting>,
+    ids: Arc<std::sync::atomic::AtomicU64>,
 }
 
 /// A connection's entry and its part of the budget.
 pub struct Place {
     /// The connection.
     pub line: Arc<Line>,
-    lines: Lines,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let key = Arc::as_ptr(&self.line).addr();
-        self.lines.open().remove(&key);
+        self.line.drain.open().remove(&self.line.id);
+        self.line.drain.feed(Input::Ended(self.line.id));
     }
 }
 
 impl Lines {
-    /// At most so many connections.
-    pub fn new(most: usize) -> Self {
-        Lines { permits: Arc::new(Semaphore::new(most)), open: Arc::default() }
+    /// At most so many connections, taken from such a socket.
+    pub fn new(most: usize, socket: Socket, clock: Clock) -> Self {
+        let drain = Parting {
+            clock,
+            drain: Mutex::new(Drain::new(socket)),
+            phase: watch::Sender::new(Phase::Starting),
+            stirred: Notify::new(),
+            open: Mutex::default(),
+        };
+        Lines { permits: Arc::new(Semaphore::new(most)), drain: Arc::new(drain), ids: Arc::default() }
     }
 
-    fn open(&self) -> MutexGuard<'_, HashMap<usize, Arc<Line>>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The program's phases as they come.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.drain.phase.subscribe()
+    }
+
+    /// Tells what happens to the program.
+    pub fn feed(&self, input: Input) {
+        self.drain.feed(input);
+    }
+
+    /// Follows an operator's call.
+    pub fn call(&self, call: Call) -> Result<(), TooLate> {
+        let followed = self.drain.with(|drain, now, out| drain.call(now, call, out));
+        self.drain.stirred.notify_one();
+        followed
+    }
+
+    /// Does what time asks for, for as long as the program runs.
+    pub async fn keep_time(self) {
+        loop {
+            let due = self.drain.with(|drain, now, out| {
+                drain.handle(now, Input::Tick, out);
+                drain.next_due()
+            });
+            tokio::select! {
+                () = clock::sleep_until(due.map(|at| self.drain.clock.instant(at).into())) => {}
+                () = self.drain.stirred.notified() => {}
+            }
+        }
     }
 
     /// Waits for room. Where there is none, the connection that has rested longest makes it: otherwise
@@ -163,24 +299,25 @@
             let rests = state.stage == Stage::Quiet && !state.evicted && state.since + LEAST_REST <= now;
             rests.then_some(state.since)
         };
-        let open = self.open();
+        let open = self.drain.open();
         let longest = open.values().filter_map(|line| Some((rested(&line)?, line))).min_by_key(|(at, _)| *at);
         if let Some((_, line)) = longest {
-            line.state().evicted = true;
-            line.stirred.notify_one();
+            line.evict();
         }
     }
 
     /// Enters a connection.
     pub fn enter(&self, permit: OwnedSemaphorePermit) -> Place {
-        let line = Arc::new(Line::new());
-        self.open().insert(Arc::as_ptr(&line).addr(), line.clone());
-        Place { line, lines: self.clone(), _permit: permit }
+        let id = LineId(self.ids.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        let line = Arc::new(Line::new(id, self.drain.clone()));
+        self.drain.open().insert(id, line.clone());
+        self.drain.feed(Input::Opened(id));
+        Place { line, _permit: permit }
     }
 }
 
 impl std::fmt::Debug for Lines {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} connections", self.open().len())
+        write!(f, "{} connections", self.drain.open().len())
     }
 }
--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -11,7 +11,7 @@
 use axum::body::Body;
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
-use axum::routing::get;
+use axum::routing::{get, post};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -19,11 +19,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tower::Service;
 
+use super::line::Lines;
 use crate::protocol::figures;
+use crate::recovery::{Call, Phase};
 use crate::transport::hub::message::Hub;
 
 /// Callers that may be connected at once; they are counted against the budget's reserve.
@@ -38,21 +39,47 @@
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Operators {
-    /// Whether the program can serve.
-    pub ready: watch::Receiver<bool>,
+    /// The clients' connections, and what the phases mean for them.
+    pub lines: Lines,
     /// Who counts.
     pub hub: Hub,
 }
 
 /// The routes of the operators' front.
 pub fn routes(operators: Operators) -> Router {
-    Router::new().route("/healthcheck", get(health)).route("/stats", get(stats)).with_state(operators)
+    Router::new()
+        .route("/healthcheck", get(health))
+        .route("/healthcheck/fail", post(fail))
+        .route("/healthcheck/ok", post(ok))
+        .route("/stats", get(stats))
+        .with_state(operators)
 }
 
 async fn health(State(operators): State<Operators>) -> Response {
-    match *operators.ready.borrow() {
-        true => (StatusCode::OK, "yes\n").into_response(),
-        false => (StatusCode::SERVICE_UNAVAILABLE, "no: it is starting or ending\n").into_response(),
+    let phase = *operators.lines.phases().borrow();
+    let (status, text) = match phase {
+        Phase::Serving => (StatusCode::OK, "yes\n"),
+        Phase::Away => (StatusCode::OK, "yes; clients are sent away, POST /healthcheck/ok takes them back\n"),
+        Phase::Starting => (StatusCode::SERVICE_UNAVAILABLE, "no: it is starting\n"),
+        Phase::Draining | Phase::Closing | Phase::Ended => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no: it is ending\n")
+        }
+    };
+    (status, text).into_response()
+}
+
+async fn fail(State(operators): State<Operators>) -> Response {
+    follow(&operators, Call::Away, "clients are sent away; POST /healthcheck/ok takes them back\n")
+}
+
+async fn ok(State(operators): State<Operators>) -> Response {
+    follow(&operators, Call::Back, "back to work\n")
+}
+
+fn follow(operators: &Operators, call: Call, done: &'static str) -> Response {
+    match operators.lines.call(call) {
+        Ok(()) => (StatusCode::OK, done).into_response(),
+        Err(error) => (StatusCode::CONFLICT, format!("no: {error}\n")).into_response(),
     }
 }
 
--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -19,6 +19,7 @@
 use crate::interface::Micros;
 use crate::protocol::platform::{self, MOST_BODY};
 use crate::protocol::settings::Names;
+use crate::recovery::Phase;
 use crate::routing::{Admission, PoolId};
 use crate::transport::hub::message::{Body, Broken, Hub, Part, Payload, Reply, Ticket};
 
@@ -31,8 +32,8 @@
     pub pool: PoolId,
     /// The names of the settings.
     pub names: Arc<Names>,
-    /// Whether the program takes clients on.
-    pub ready: watch::Receiver<bool>,
+    /// Where the program stands.
+    pub phase: watch::Receiver<Phase>,
 }
 
 /// The routes of the platform's front.
@@ -41,7 +42,7 @@
 }
 
 async fn up(State(front): State<Front>) -> StatusCode {
-    if *front.ready.borrow() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+    if *front.phase.borrow() == Phase::Serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 /// Reads a body; the status that refuses it otherwise. A length that is too large is refused before the bytes
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -154,12 +154,11 @@
 
     /// hyper flushes the socket only once its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.handed_over.load(Ordering::Relaxed) {
-            if !self.progress.written.swap(true, Ordering::Relaxed)
-                && let Some(tell) = self.progress.told().take()
-            {
-                tell();
-            }
+        if self.progress.handed_over.load(Ordering::Relaxed)
+            && !self.progress.written.swap(true, Ordering::Relaxed)
+            && let Some(tell) = self.progress.told().take()
+        {
+            tell();
         }
         Pin::new(&mut self.io).poll_flush(cx)
     }
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -316,6 +316,105 @@
     });
 }
 
+/// Serves the request that waits at the reader.
+async fn serve(reader: &mut Peer, writer: &mut Peer) {
+    read(reader).await;
+    let mut seen = writer.next().await;
+    seen.begin().await;
+    seen.chunk("data: [DONE]\n\n").await;
+    seen.end().await;
+    seen.go_on();
+}
+
+/// Failure: a drain resets somebody, answers twice or not at all, keeps clients, or can't be called off.
+#[test]
+fn clients_are_sent_away_and_taken_back_without_a_reset() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+        let mut config = config(&telling(servers.to_vec()).await, &servers);
+        config["admin"] = json!("127.0.0.1:0");
+        let conductor = Conductor::start_with(config, "").await;
+        let (front, admin) = (&conductor.front, &conductor.admin);
+        let mut resting = conductor.ask("c1", "ask", 4000).await;
+        serve(&mut reader, &mut writer).await;
+        resting.rest_of_answer().await;
+        // An answer that begins before the call, and goes on beyond the term.
+        let mut long = conductor.ask("c2", "ask", 4000).await;
+        read(&mut reader).await;
+        let mut stream = writer.next().await;
+        stream.begin().await;
+        stream.chunk("data: {}\n\n").await;
+        long.until("data: {}\n\n").await.expect("the first event");
+        let mut fresh = Wire::connect(front).await;
+        // Two requests at once: the second one waits behind the first.
+        let mut pipelined = Wire::connect(front).await;
+        let two = [platform_request("c3", "ask", 4000, "{}"), platform_request("c4", "ask", 4000, "{}")];
+        pipelined.write(&two.concat()).await;
+        let mut first = reader.next().await;
+
+        let called = std::time::Instant::now();
+        assert!(call(admin, "POST /healthcheck/fail").await.starts_with("HTTP/1.1 200"));
+        assert!(
+            call(admin, "POST /healthcheck/fail").await.starts_with("HTTP/1.1 200"),
+            "it may be repeated"
+        );
+        assert!(call(admin, "GET /healthcheck/fail").await.starts_with("HTTP/1.1 405"));
+        assert_eq!(up(front).await, "HTTP/1.1 503 Service Unavailable\r\n");
+        assert!(call(admin, "GET /healthcheck").await.starts_with("HTTP/1.1 200"), "it can serve");
+        // Whoever still comes is served, and told that this is the end.
+        let mut late = conductor.ask("c5", "ask", 4000).await;
+        first.answer("202 Accepted", "", "{}").await;
+        first.go_on();
+        for _ in 0..2 {
+            let mut seen = writer_or_reader(&mut reader, &mut writer).await;
+            seen.begin().await;
+            seen.chunk("data: [DONE]\n\n").await;
+            seen.end().await;
+            seen.go_on();
+        }
+        let answer = late.until("0\r\n\r\n").await.expect("a whole answer");
+        assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+        assert_eq!(late.rest().await, "");
+        let answer = pipelined.until("0\r\n\r\n").await.expect("the first answer");
+        assert!(!answer.to_lowercase().contains("connection: close"), "another request waits: {answer}");
+        serve(&mut reader, &mut writer).await;
+        let answer = pipelined.until("0\r\n\r\n").await.expect("the second answer");
+        assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+        assert_eq!(pipelined.rest().await, "");
+        // They end cleanly, and not before others are invited elsewhere.
+        for wire in [&mut fresh, &mut resting] {
+            assert_eq!(wire.whole_end().await, Some(String::new()), "an end, no reset");
+            assert!(called.elapsed().as_millis() >= 400, "{:?}", called.elapsed());
+        }
+        assert!(called.elapsed().as_millis() < 4000, "{:?}", called.elapsed());
+        stream.chunk("data: [DONE]\n\n").await;
+        stream.end().await;
+        long.until("0\r\n\r\n").await.expect("the whole long answer");
+        assert_eq!(long.whole_end().await, Some(String::new()), "its connection is not kept");
+
+        assert!(call(admin, "POST /healthcheck/ok").await.starts_with("HTTP/1.1 200"));
+        assert_eq!(up(front).await, "HTTP/1.1 200 OK\r\n", "at once");
+        let mut back = conductor.ask("c6", "ask", 4000).await;
+        serve(&mut reader, &mut writer).await;
+        assert!(!back.rest_of_answer().await.to_lowercase().contains("connection: close"));
+        assert_eq!(reader.unseen() + writer.unseen(), 0, "nothing was sent twice");
+    });
+}
+
+/// The next request at the writer; those at the reader are read meanwhile.
+async fn writer_or_reader(reader: &mut Peer, writer: &mut Peer) -> Seen {
+    loop {
+        tokio::select! {
+            seen = writer.next() => return seen,
+            mut seen = reader.next() => {
+                seen.answer("202 Accepted", "", "{}").await;
+                seen.go_on();
+            }
+        }
+    }
+}
+
 async fn read(reader: &mut Peer) {
     let mut seen = reader.next().await;
     seen.answer("202 Accepted", "", "{\"cached_tokens\":0}").await;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -79,6 +79,12 @@
         String::from_utf8(std::mem::take(&mut self.ahead)).expect("text")
     }
 
+    /// Everything up to an orderly end of the connection; none if it is reset.
+    pub async fn whole_end(&mut self) -> Option<String> {
+        while self.stream.read_buf(&mut self.ahead).await.ok()? > 0 {}
+        String::from_utf8(std::mem::take(&mut self.ahead)).ok()
+    }
+
     /// The head and body of a message with a Content-Length.
     pub async fn message(&mut self) -> Option<(String, String)> {
         let head = self.until("\r\n\r\n").await?;
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -56,6 +56,10 @@
 fn the_layers_depend_one_way() {
     for (layer, foreign) in [
         ("membership", &["documents", "protocol", "routing", "transport", "program", "choice", "wire"][..]),
+        (
+            "recovery",
+            &["documents", "membership", "protocol", "routing", "transport", "program", "choice", "wire"],
+        ),
         ("expect", &["documents", "membership", "protocol", "transport", "program", "choice", "wire"]),
         ("documents", &["routing", "transport", "program", "choice", "wire"]),
         ("protocol", &["documents", "membership", "routing", "transport", "program", "choice", "wire"]),
@@ -112,7 +116,9 @@
 
 #[test]
 fn the_core_knows_no_wire() {
-    for (path, text) in [sources("routing"), sources("membership"), sources("expect")].concat() {
+    for (path, text) in
+        [sources("routing"), sources("membership"), sources("expect"), sources("recovery")].concat()
+    {
         for word in [
             "http::",
             "hyper",
