Back off from a discovery that refuses, and begin with a watch from the known version

Ruled out: the servers' own refusals come after the lists went stale; calls of 20 s instead of 2 s change nothing; the first list alone is answered at once, so it is new watches that queue.

Change: recovery::pacing draws the pause after a failed call by how it failed and how many conductors there are. The first call is a watch from the known list's version. Clients are taken on after 0.1 s by a known list (3 s before; still 3 s where nothing is known or files decide).

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -41,8 +41,11 @@
 const READ_AGAIN: Duration = Duration::from_millis(200);
 /// ... so many times.
 const READINGS: u32 = 5;
-/// Clients are taken on without discovery's first answer after this: the known list has to do.
-const PATIENCE: Duration = Duration::from_secs(3);
+/// Clients are taken on without discovery's first answer after this, by the known list: discovery may be silent, or
+/// have nothing newer to tell.
+const PATIENCE: Duration = Duration::from_millis(100);
+/// The same where nothing is known yet, or files have to say who is a member.
+const PATIENCE_UNKNOWN: Duration = Duration::from_secs(3);
 
 /// All that the program is told at its start.
 pub struct Setup {
@@ -109,6 +112,7 @@
     admin: Option<OperatorsListener>,
     rpc: Option<(Listener, axum::Router)>,
     heard: watch::Receiver<bool>,
+    patience: Duration,
     longest: Duration,
     terminate: Signal,
     report: Signal,
@@ -162,7 +166,7 @@
         let rpc = match rpc_front {
             Some((listener, rpc, pool)) => {
                 let prefix = format!("{}-{seed:x}", config.name);
-                let relay = tools::start(rpc, pool, &hub, clock, prefix).await?;
+                let relay = tools::start(rpc, pool, &hub, clock, (prefix, seed)).await?;
                 Some((listener, RpcFront::new(relay).routes(&rpc.path)))
             }
             None => None,
@@ -184,8 +188,10 @@
             files: operator.servers.as_ref(),
             discovery: listed.then_some(address),
             known: Known::List(&config.known),
+            seed,
         };
         let heard = list.run(&hub, clock).await?;
+        let knows = !config.known.members.is_empty() && operator.servers.is_none();
         let lines = budget.fronts;
         let front = Front { hub: hub.clone(), pool, names: Arc::new(names), phase: lines.phases() };
         Ok(Life {
@@ -196,6 +202,7 @@
             admin,
             rpc,
             heard,
+            patience: if knows { PATIENCE } else { PATIENCE_UNKNOWN },
             longest: Duration::from_micros(deadline.max(LEAST_DEADLINE)),
             terminate,
             report,
@@ -232,7 +239,7 @@
         }
         let mut heard = self.heard;
         let heard = async { heard.wait_for(|heard| *heard).await.is_ok() };
-        let mut known = pin!(tokio::time::timeout(PATIENCE, heard));
+        let mut known = pin!(tokio::time::timeout(self.patience, heard));
         let phases = self.lines.phases();
         loop {
             let starting = *phases.borrow() == Phase::Starting;
--- a/src/program/lists.rs
+++ b/src/program/lists.rs
@@ -13,6 +13,7 @@
 use crate::membership::{Catalog, Listed, Membership, Reason};
 use crate::protocol::platform::List;
 use crate::protocol::settings::{Links, Names};
+use crate::recovery::Pacing;
 use crate::routing::PoolId;
 use crate::transport::clock::Clock;
 use crate::transport::hub::message::Hub;
@@ -46,6 +47,8 @@
     /// Where discovery listens; none where there is none.
     pub(super) discovery: Option<watch::Receiver<String>>,
     pub(super) known: Known<'a>,
+    /// For the lots by which calls are spread.
+    pub(super) seed: u64,
 }
 
 impl Start<'_> {
@@ -67,16 +70,31 @@
             by_files,
             guard,
         });
-        match self.known {
-            Known::List(known) => list.known(known).await,
-            Known::Servers(known) => list.known_servers(known).await,
-        }
+        let version = match self.known {
+            Known::List(known) => {
+                list.known(known).await;
+                Some(known.revision).filter(|_| !known.members.is_empty())
+            }
+            Known::Servers(known) => {
+                list.known_servers(known).await;
+                None
+            }
+        };
         if let Some(watched) = self.files {
             read_files(&mut list, watched, &handle).await?;
         }
         if let Some(address) = self.discovery {
             let client = connector::client(self.links, Arc::new(Semaphore::new(4)));
-            tokio::spawn(Watcher { address, client, list: handle.clone() }.run());
+            tokio::spawn(
+                Watcher {
+                    address,
+                    client,
+                    list: handle.clone(),
+                    known: version,
+                    pacing: Pacing::new(self.seed, self.settings.dispatchers),
+                }
+                .run(),
+            );
         }
         tokio::spawn(list.run());
         Ok(heard)
--- a/src/program/plugin.rs
+++ b/src/program/plugin.rs
@@ -47,7 +47,8 @@
         let (mut actor, hub) = hub::new(core, clock, budget);
         actor.add_pool(tools::common(&rpc, pool, &hub), rpc.names.classes.clone());
         tokio::spawn(actor.run());
-        Ok(Plugin { relay: tools::start(&rpc, pool, &hub, clock, format!("{name}-{seed:x}")).await? })
+        let prefix = format!("{name}-{seed:x}");
+        Ok(Plugin { relay: tools::start(&rpc, pool, &hub, clock, (prefix, seed)).await? })
     }
 
     /// The counters.
--- a/src/program/tools.rs
+++ b/src/program/tools.rs
@@ -28,7 +28,7 @@
     pool: PoolId,
     hub: &Hub,
     clock: Clock,
-    prefix: String,
+    (prefix, seed): (String, u64),
 ) -> Result<Relay, ProgramError> {
     let tool = |class: crate::interface::ClassId| {
         let about = rpc.settings.classes.get(usize::from(class.0))?;
@@ -43,6 +43,7 @@
         files: rpc.servers.as_ref(),
         discovery: rpc.discovery.clone().map(|address| watch::Sender::new(address).subscribe()),
         known: Known::Servers(rpc.known.clone()),
+        seed,
     };
     list.run(hub, clock).await?;
     Ok(Relay {
--- a/src/transport/list/discovery.rs
+++ b/src/transport/list/discovery.rs
@@ -10,14 +10,13 @@
 use super::{ListHandle, News};
 use crate::interface::ListScope;
 use crate::protocol::platform::List;
+use crate::recovery::{Failed, Pacing};
 use crate::transport::peer::connector::{PeerClient, Tracked};
 
 /// How long a watch may wait. A short one is soon missed where discovery has gone silent.
 const HOLD: Duration = Duration::from_millis(2_000);
 /// An answer that is this late does not come any more.
 const MARGIN: Duration = Duration::from_millis(1_000);
-/// Pause after a failure: the next call must come within 200 ms for the watch to go on.
-const PAUSE: Duration = Duration::from_millis(50);
 /// The largest list.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 
@@ -29,6 +28,10 @@
     pub client: PeerClient,
     /// Where news goes.
     pub list: ListHandle,
+    /// The version of the list that is known already.
+    pub known: Option<u64>,
+    /// How long it waits after a failure.
+    pub pacing: Pacing,
 }
 
 #[derive(Debug, Error)]
@@ -49,8 +52,8 @@
 
 impl Watcher {
     /// Watches for as long as the program runs.
-    pub async fn run(self) {
-        let mut revision = None;
+    pub async fn run(mut self) {
+        let mut revision = self.known;
         let mut moves = self.address.clone();
         loop {
             let address = moves.borrow_and_update().clone();
@@ -68,24 +71,49 @@
                 // A list that has gone back, and does not come whole, is one of a restarted discovery.
                 Ok(list) if !list.complete && revision.is_none_or(|seen| list.revision < seen) => {
                     revision = None;
-                    tokio::time::sleep(PAUSE).await;
+                    self.pause(Failed::Broke, &mut moves).await;
                 }
                 Ok(list) => {
+                    self.pacing.answered();
+                    tracing::debug!(
+                        revision = list.revision,
+                        complete = list.complete,
+                        entries = list.members.len(),
+                        "discovery answers"
+                    );
                     revision = Some(list.revision);
                     let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
                     self.list.send(News::Discovery(scope, list)).await;
                 }
                 Err(error) => {
                     tracing::warn!(discovery.address = address.as_str(), %error, "discovery does not answer");
-                    if !matches!(error, ListError::Call(_) | ListError::Body(_) | ListError::Late(_)) {
+                    let failed = match error {
+                        ListError::Call(_) | ListError::Body(_) => Failed::Broke,
+                        ListError::Late(_) => Failed::Silent,
+                        ListError::Status(_) | ListError::Address | ListError::Json(_) => Failed::Refused,
+                    };
+                    // Busy as it is, it still knows what this watch has heard.
+                    let busy = matches!(error, ListError::Status(status) if status.is_server_error());
+                    if failed == Failed::Refused && !busy {
+                        revision = None;
+                    }
+                    if self.pause(failed, &mut moves).await {
                         revision = None;
                     }
-                    tokio::time::sleep(PAUSE).await;
                 }
             }
         }
     }
 
+    /// Waits before the next call; true if discovery has moved meanwhile, which ends the wait.
+    async fn pause(&mut self, failed: Failed, moves: &mut watch::Receiver<String>) -> bool {
+        let pause = Duration::from_micros(self.pacing.pause(failed));
+        tokio::select! {
+            Ok(()) = moves.changed() => true,
+            () = tokio::time::sleep(pause) => false,
+        }
+    }
+
     async fn ask(&self, address: &str, after: Option<u64>) -> Result<List, ListError> {
         let query = after.map(|rev| format!("?from={rev}&hold_ms={}", HOLD.as_millis())).unwrap_or_default();
         let mut request = Request::new(Tracked::empty());
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -319,6 +319,11 @@
 /// Serves the request that waits at the reader.
 async fn serve(reader: &mut Peer, writer: &mut Peer) {
     read(reader).await;
+    write(writer).await;
+}
+
+/// Answers the request that waits at the writer.
+async fn write(writer: &mut Peer) {
     let mut seen = writer.next().await;
     seen.begin().await;
     seen.chunk("data: [DONE]\n\n").await;
@@ -362,26 +367,21 @@
         assert!(call(admin, "GET /healthcheck/fail").await.starts_with("HTTP/1.1 405"));
         assert_eq!(up(front).await, "HTTP/1.1 503 Service Unavailable\r\n");
         assert!(call(admin, "GET /healthcheck").await.starts_with("HTTP/1.1 200"), "it can serve");
-        // Whoever still comes is served, and told that this is the end.
-        let mut late = conductor.ask("c5", "ask", 4000).await;
         first.answer("202 Accepted", "", "{}").await;
         first.go_on();
-        for _ in 0..2 {
-            let mut seen = writer_or_reader(&mut reader, &mut writer).await;
-            seen.begin().await;
-            seen.chunk("data: [DONE]\n\n").await;
-            seen.end().await;
-            seen.go_on();
-        }
-        let answer = late.until("0\r\n\r\n").await.expect("a whole answer");
-        assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
-        assert_eq!(late.rest().await, "");
+        write(&mut writer).await;
         let answer = pipelined.until("0\r\n\r\n").await.expect("the first answer");
         assert!(!answer.to_lowercase().contains("connection: close"), "another request waits: {answer}");
         serve(&mut reader, &mut writer).await;
         let answer = pipelined.until("0\r\n\r\n").await.expect("the second answer");
         assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
         assert_eq!(pipelined.rest().await, "");
+        // Whoever still comes is served, and told that this is the end.
+        let mut late = conductor.ask("c5", "ask", 4000).await;
+        serve(&mut reader, &mut writer).await;
+        let answer = late.until("0\r\n\r\n").await.expect("a whole answer");
+        assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+        assert_eq!(late.rest().await, "");
         // They end cleanly, and not before others are invited elsewhere.
         for wire in [&mut fresh, &mut resting] {
             assert_eq!(wire.whole_end().await, Some(String::new()), "an end, no reset");
@@ -402,19 +402,6 @@
     });
 }
 
-/// The next request at the writer; those at the reader are read meanwhile.
-async fn writer_or_reader(reader: &mut Peer, writer: &mut Peer) -> Seen {
-    loop {
-        tokio::select! {
-            seen = writer.next() => return seen,
-            mut seen = reader.next() => {
-                seen.answer("202 Accepted", "", "{}").await;
-                seen.go_on();
-            }
-        }
-    }
-}
-
 async fn read(reader: &mut Peer) {
     let mut seen = reader.next().await;
     seen.answer("202 Accepted", "", "{\"cached_tokens\":0}").await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -225,7 +225,8 @@
         let config = config(&discovery.address, &[member("s-old", &old.address, "reader")]);
         let starting = tokio::spawn(async { Conductor::start_with(config, "").await });
         let mut seen = discovery.next().await;
-        assert!(seen.head.starts_with("GET /discovery/hosts HTTP"), "{}", seen.head);
+        // What is known already need not be told again.
+        assert!(seen.head.starts_with("GET /discovery/hosts?from=1&hold_ms="), "{}", seen.head);
         let servers = [member("s-old", &old.address, "reader"), member("s-w", &writer.address, "writer")];
         seen.answer("200 OK", "", &list(7, true, &servers).to_string()).await;
         let answered = std::time::Instant::now();
@@ -250,6 +251,41 @@
     });
 }
 
+/// Failure: a discovery that has too many callers is asked again at once, by each of them; or nobody is served until
+/// it answers.
+#[test]
+fn a_discovery_that_refuses_is_left_alone_for_a_while_and_the_known_list_serves() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+        let mut discovery = Peer::start().await;
+        let mut config = config(&discovery.address, &servers);
+        config["settings"]["ReplicasOfMe"] = json!(10);
+        let began = std::time::Instant::now();
+        let starting = Conductor::start_with(config, "");
+        let (conductor, mut seen) = tokio::join!(starting, async {
+            let mut seen = discovery.next().await;
+            seen.answer("503 Service Unavailable", "", "").await;
+            seen
+        });
+        assert!(began.elapsed().as_millis() < 1_500, "{:?}", began.elapsed());
+        let refused = std::time::Instant::now();
+        let mut client = conductor.ask("c1", "ask", 4000).await;
+        read(&mut reader).await;
+        let mut answer = writer.next().await;
+        answer.begin().await;
+        answer.chunk("data: [DONE]\n\n").await;
+        answer.end().await;
+        client.until("0\r\n\r\n").await.expect("an answer by the known list");
+        let (head, _) = seen.wire.message().await.expect("the watch");
+        assert!(
+            head.starts_with("GET /discovery/hosts?from=1&hold_ms="),
+            "it goes on from what it knows: {head}"
+        );
+        assert!(refused.elapsed().as_millis() >= 300, "{:?}", refused.elapsed());
+    });
+}
+
 /// Failure: a state stays pinned because the reader that should let go of it has died.
 #[test]
 fn where_the_holder_is_dead_another_server_is_told_to_let_go() {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -43,7 +43,7 @@
         let reserved = nowhere();
         let front = &reserved.address;
         let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
-        let mut config = config(&discovery.address, &servers);
+        let mut config = config(&discovery.address, &[]);
         config["listen"] = json!(front);
         let mut child = program(&folder.write("config.json", &config.to_string()), None);
         let mut watch = discovery.next().await;
