Say that the program has started once it has, so that a failed start tells one line

The line 'starting' came before the reason of a failed start (tests/program.rs, a_bad_configuration_is_told_plainly). It is told after the start now, in the same words otherwise.

--- a/src/program/cli/mod.rs
+++ b/src/program/cli/mod.rs
@@ -120,9 +120,14 @@
 fn serve(operator: Option<&str>) -> Result<(), ProgramError> {
     let setup = Setup::read(operator)?;
     log::start(&setup.operator.log)?;
-    tracing::info!(name = setup.config.name.as_str(), version = env!("CARGO_PKG_VERSION"), "starting");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let counted = runtime.block_on(async { Life::start(setup).await?.run().await })?;
+    let name = setup.config.name.clone();
+    let counted = runtime.block_on(async {
+        let life = Life::start(setup).await?;
+        // Only now: a start that fails tells one line, and that is why.
+        tracing::info!(name, version = env!("CARGO_PKG_VERSION"), "started");
+        life.run().await
+    })?;
     println!("{}", figures::line(&counted.figures()));
     Ok(())
 }
