Take a reader's queue from reports that tell it in requests

Cause: the site's reports hold load share, depth and x0. Only x1 (tokens) told the router of a queue (protocol/settings.rs names; hear in choice.rs), so that each reader was taken for empty whatever its report said. With a few conductors own sends tell enough; of a hundred, each sees about one request a second.

Change: a report's depth counts as so many reads of the mean size that came.

Tests: a queue told in requests turns a choice (tests/choices.rs); both names of the field are read (protocol/platform.rs).

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -344,6 +344,7 @@
                         latency: None,
                         memory_share: Some(memory.in_use() as f64 / memory.capacity() as f64),
                         waiting_tokens: Some(engine.waiting_tokens() as f64),
+                        waiting: None,
                     };
                     let (took, outcome, report) = (2 * WAY, Outcome::Served, Some(report));
                     let input = CoreInput::Probed { pool, server, outcome, took, report };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! The rule: a prompt goes to the ready reader with the lowest weight x missing tokens + pending load; after
 //! the read, a writer with room in that reader's cell fetches the state and answers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -36,6 +36,8 @@
 const REPORT_OLD: Micros = 5_000_000;
 /// Pace of a reader in tokens a second before any read was seen.
 const FIRST_PACE: f64 = 12_000.0;
+/// Tokens to read for one request before any came (a guess): a queue may be told in requests.
+const FIRST_READ: f64 = 2_000.0;
 /// Tokens that a read costs besides its own (steps, network), so that short reads don't look slow.
 const READ_OVERHEAD: f64 = 300.0;
 /// A writer's own times to the first token are mixed with so many at the mean of all.
@@ -116,9 +118,9 @@
     memory: f64,
     weight: f64, // its capacity against the mean of its role; 0 takes nothing new
     kept: BTreeMap<Key, Kept>,
-    unread: f64,                    // own prompt tokens sent and not yet read
-    others: f64,                    // tokens beyond them that wait there by the last report
-    since: VecDeque<(Micros, f64)>, // own streams that the last report can't hold yet: when, and the tokens
+    unread: f64,               // own prompt tokens sent and not yet read
+    others: f64,               // tokens beyond them that wait there by the last report
+    since: Vec<(Micros, f64)>, // own streams that the last report can't hold yet: when, and the tokens
     report: Report,
     reported: Option<Micros>,
     heard: Micros,
@@ -203,7 +205,7 @@
     readers: Fleet,
     writers: Fleet,
     near_readers: f64, // those of the own zone
-    offered: Pace,     // tokens to be read for the requests that came, taken or not
+    offered: Pace, // tokens to be read for the requests that came, taken or not, and their count as seconds
     first_tokens: Pace,
     borne: [f64; 2], // reads ended and answers begun since the start, at...
     born: Micros,
@@ -419,7 +421,7 @@
         let (missing, pace) = ((open.request.prompt_tokens - kept) as f64, self.pace(now, server));
         let crowded = self.load(now, server, chance * HERD * self.peers_rate()) / pace + wait;
         let hopeless = crowded > self.bound(&open.request) || queue + missing / pace > aim as f64 / 1e6;
-        self.offered.add(now, missing, 0);
+        self.offered.add(now, missing, 1_000_000);
         hopeless
     }
 
@@ -683,7 +685,7 @@
             keys(&request).for_each(|(key, _)| self.roster.keep(key, to));
         }
         if server.role != Role::Reader {
-            server.since.push_back((now, held));
+            server.since.push((now, held));
             server.streams += 1;
         }
         let (entry, role) = (server.entry, server.role);
@@ -747,14 +749,14 @@
     }
 
     fn hear(&mut self, now: Micros, from: ServerId, alive: bool, report: Option<Report>) {
+        let read = (self.offered.work + FIRST_READ) / (self.offered.seconds + 1.0);
         let Some(server) = self.servers.get_mut(&from) else { return };
         if let Some(report) = report {
-            server.others = (report.waiting_tokens.unwrap_or(0.0) - server.unread).max(0.0);
+            let waiting = report.waiting_tokens.or(report.waiting.map(|count| count * read)).unwrap_or(0.0);
+            server.others = (waiting - server.unread).max(0.0);
             server.report = report;
             server.reported = Some(now);
-            while server.since.front().is_some_and(|(at, _)| at + REPORT_LAG < now) {
-                server.since.pop_front();
-            }
+            server.since.retain(|(at, _)| at + REPORT_LAG >= now);
         }
         if alive {
             (server.heard, server.doubt, server.broke) = (now, false, false);
@@ -806,9 +808,7 @@
                 server.out = server.out.saturating_sub(1);
                 server.unread = (server.unread - a.tokens).max(0.0);
             }
-            if server.role != Role::Reader {
-                server.streams = server.streams.saturating_sub(1);
-            }
+            server.streams -= u32::from(server.role != Role::Reader && server.streams > 0);
             if matches!(ended.outcome, Outcome::Error | Outcome::Served | Outcome::Read) {
                 server.faults.forget(now, FAULT_HALF_LIFE);
                 server.faults.work += f64::from(ended.outcome == Outcome::Error);
@@ -892,9 +892,8 @@
                 return;
             }
             ListScope::Full | ListScope::Cached => {
-                let mut named: Vec<ServerId> = update.entries.iter().map(|entry| entry.id).collect();
-                named.sort_unstable();
-                self.servers.retain(|id, _| named.binary_search(id).is_ok());
+                let named: BTreeSet<ServerId> = update.entries.iter().map(|entry| entry.id).collect();
+                self.servers.retain(|id, _| named.contains(id));
             }
             ListScope::Changes => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -460,6 +460,8 @@
     pub memory_share: Option<f64>,
     /// Prompt tokens that wait to be read or fetched.
     pub waiting_tokens: Option<f64>,
+    /// Requests that wait in its queue.
+    pub waiting: Option<f64>,
 }
 
 /// How an attempt or a probe ended.
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -135,6 +135,7 @@
             }
             "x0" if named(ReportField::MemoryShare) => report.memory_share = Some(value),
             "x1" if named(ReportField::WaitingThousands) => report.waiting_tokens = Some(value * 1000.0),
+            "queue" | "depth" if named(ReportField::Waiting) => report.waiting = Some(value),
             _ => {}
         }
     }
@@ -297,6 +298,9 @@
         let fields = [ReportField::Unused, ReportField::MemoryShare];
         let read = report("TEXT util=0.61, queue=2, x0=0.25, x1=9", &fields).expect("a report");
         assert_eq!(read, Report { memory_share: Some(0.25), ..Report::default() });
+        let queued = Report { waiting: Some(2.0), ..Report::default() };
+        assert_eq!(report("TEXT util=0.61, queue=2", &[ReportField::Waiting]), Some(queued));
+        assert_eq!(report("TEXT load_share=0.61, depth=2", &[ReportField::Waiting]), Some(queued));
         assert_eq!(report("TEXT x0=nan", &fields), None);
         assert_eq!(report("", &fields), None);
     }
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -52,6 +52,8 @@
     MemoryShare,
     /// Thousands of prompt tokens that wait.
     WaitingThousands,
+    /// Requests in the queue.
+    Waiting,
     /// Nothing that the decisions use.
     Unused,
 }
@@ -291,6 +293,7 @@
                 "mean_ms" => ReportField::Latency,
                 "x0" => ReportField::MemoryShare,
                 "x1" => ReportField::WaitingThousands,
+                "depth" => ReportField::Waiting,
                 _ => ReportField::Unused,
             })
             .collect();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -119,6 +119,7 @@
                 ReportField::Latency => report.latency = Some(micros("Usage", value)?),
                 ReportField::MemoryShare => report.memory_share = Some(value),
                 ReportField::WaitingThousands => report.waiting_tokens = Some(value * 1000.0),
+                ReportField::Waiting => report.waiting = Some(value),
                 ReportField::Unused => {}
             }
         }
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -14,6 +14,7 @@
         latency: Some(50 * MS),
         memory_share: Some(memory_share),
         waiting_tokens: Some(waiting_tokens),
+        ..Report::default()
     })
 }
 
@@ -387,6 +388,28 @@
     assert_eq!(stand.at(first.id), Some(ServerId(10)), "the emptier one is taken");
 }
 
+/// Failure: reports tell a queue in requests only, and every reader is taken for empty.
+#[test]
+fn a_queue_that_is_told_in_requests_counts_as_one_of_tokens() {
+    for (at_0, at_10, taken) in [(20.0, 0.0, 10), (0.0, 20.0, 0)] {
+        let mut settings = settings();
+        settings.limits.probes = true;
+        let mut stand = Stand::new(settings, pair_fleet());
+        let first = request(1, stand.now);
+        stand.accept(first);
+        for (server, waiting) in [(0, at_0), (10, at_10)] {
+            stand.feed(Event::Probed {
+                server: ServerId(server),
+                outcome: Outcome::Served,
+                took: MS,
+                report: Some(Report { waiting: Some(waiting), ..Report::default() }),
+            });
+        }
+        stand.pass(100 * MS);
+        assert_eq!(stand.at(first.id), Some(ServerId(taken)));
+    }
+}
+
 #[test]
 fn a_reader_that_answers_no_probe_is_passed_over() {
     let mut settings = settings();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -46,7 +46,8 @@
     rng.random::<bool>().then(|| Report {
         latency: Some(rng.random_range(0..4 * S)),
         memory_share: Some(rng.random_range(0.0..1.2)),
-        waiting_tokens: Some(rng.random_range(0.0..50_000.0)),
+        waiting_tokens: rng.random_bool(0.5).then(|| rng.random_range(0.0..50_000.0)),
+        waiting: rng.random_bool(0.5).then(|| rng.random_range(0.0..50.0)),
     })
 }
 
