Give a cold server a part of the requests in place of a pause at each conductor

Cause: cold_pause (choice.rs) let each conductor send to a cold server once in so long, first after a drawn part of that. It counts on a request being there when the pause is over. With 100 conductors of one request a second the pause came out at 50 s and more, and a turn that comes is seldom used, as the server is no place of that request. Ruled out: cold servers that are slow (reads there took 0.2 to 0.5 s), discovery that is late (they were listed 1.7 s after their start). Second, such a server counted as loaded as the mean until heard of, so that in a jam it was not asked (load), and the request was refused by the mean of others (hopeless).

Change: a request has a lot; a cold server is open to the part COLD_PART x fall_multiple x warmth / count of all requests to its role (of those in its cell, as a writer), and is then a place for them. This sums up over any number of conductors, dead or alive, without knowing how many there are. Until a report is there it counts as empty. cold_until, borne, born and rate are gone. The other way, pauses shortened by the number of idle conductors, needs a count that is wrong when most have been killed.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -32,6 +32,13 @@
         *self.runs.entry(request).or_default() += 1;
     }
 
+    /// Notes that the writer that took it has turned it away unbegun.
+    pub fn turned_away(&mut self, request: usize) {
+        if let Some(runs) = self.runs.get_mut(&request) {
+            *runs -= 1;
+        }
+    }
+
     fn way(&self, request: usize) -> String {
         let steps = self.ways.get(&request).into_iter().flatten();
         steps.map(|(at, what)| format!("{:.1} ms {what}", *at as f64 / 1e3)).collect::<Vec<_>>().join("; ")
@@ -76,6 +83,8 @@
         ledger.ran(1_700, 0, 5);
         assert!(ledger.violation(1, |_| true, 0).is_some_and(|told| told.contains("may have run 2 times")));
         assert_eq!(ledger.violation(1, |_| false, 0), None);
+        ledger.turned_away(0);
+        assert_eq!(ledger.violation(1, |_| true, 0), None, "what was turned away never ran");
         ledger.answered(2_500, 0, "served");
         assert!(ledger.violation(1, |_| false, 0).is_some_and(|told| told.contains("2 final answers")));
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,7 +134,6 @@
     broke: bool,  // nor since a connection broke
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
-    cold_until: Micros, // while it is cold: when this dispatcher may send there next
     probed: Micros,
 }
 
@@ -160,6 +159,7 @@
     over: bool, // the final answer is given or no longer owed
     avoid: Option<ServerId>,
     asked: bool, // candidates were asked for reports before the next choice
+    lot: u64,    // settles of which cold servers' share it is
 }
 
 impl Open {
@@ -189,7 +189,6 @@
     pace: f64,
     wait: f64,  // seconds from a send to the first token
     least: f64, // the same at the quickest writer
-    rate: f64,  // own requests a second that a warm server bears
 }
 
 /// One dispatcher's decisions.
@@ -207,8 +206,6 @@
     near_readers: f64, // those of the own zone
     offered: Pace, // tokens to be read for the requests that came, taken or not, and their count as seconds
     first_tokens: Pace,
-    borne: [f64; 2], // reads ended and answers begun since the start, at...
-    born: Micros,
     tenants: Vec<Pace>,
     links: BTreeMap<CellId, Pace>,  // first tokens of states that left the cell
     looked: Option<Vec<Candidate>>, // those of the present choice, if somebody observes
@@ -237,8 +234,6 @@
             near_readers: 0.0,
             offered: none,
             first_tokens: Pace::default(),
-            borne: [0.0; 2],
-            born: now,
             looked: None,
         })
     }
@@ -289,7 +284,8 @@
         let id = request.id;
         let last = request.expires.saturating_sub(self.settings.step);
         self.wake(last.max(now), Wake::Deadline(id), out);
-        self.requests.insert(id, Open { request, came: now, ..Open::default() });
+        let lot = self.rng.random();
+        self.requests.insert(id, Open { request, came: now, lot, ..Open::default() });
         self.advance(now, id, out);
     }
 
@@ -328,9 +324,9 @@
             None => {}
         }
         let half = self.settings.rules.release_within / 2;
-        if let Some(open) = self.requests.get_mut(&id)
-            && open.state.is_some_and(|(_, since)| now + LOOK_AGAIN > since + half)
-        {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.lot = self.rng.random(); // only cold servers may be left
+        if open.state.is_some_and(|(_, since)| now + LOOK_AGAIN > since + half) {
             // Nobody fetches the state in time: let it go, so that nothing stays pinned.
             open.state = None;
             out.push(Action::Release(id));
@@ -407,7 +403,8 @@
         };
         let fresh = server.reported.is_some_and(|at| now - at < FRESH);
         if !fresh && self.out < TO_SEE {
-            return self.thin() && self.readers.load / self.pace(now, server) > self.bound(&open.request);
+            return self.thin()
+                && self.load(now, server, 0.0) / self.pace(now, server) > self.bound(&open.request);
         }
         let cell = server.entry.cell;
         let wait = writer
@@ -464,7 +461,8 @@
                 Role::Writer if !writers_read => Some(Barred::Role),
                 _ => (self.memory_share(now, server) >= share).then_some(Barred::Memory),
             };
-            let barred = unfit.or_else(|| self.barred(now, server, open));
+            let among = if server.role == Role::Reader { self.readers.count } else { self.writers.count };
+            let barred = unfit.or_else(|| self.barred(now, server, open, among));
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(&open.request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
@@ -473,7 +471,8 @@
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
             let unwilling = self.unwilling(now, server, open);
             let kept = promised(now, server, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
-            let class = u8::from(thin && !kept);
+            let cold = self.warmth(now, server) < 1.0; // and this request is of its share
+            let class = u8::from(thin && !kept && !cold);
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Read { missing, load, pace, price, cost };
                 looked.push(Candidate { server: sid, barred, last_resort: unwilling, class, cost });
@@ -535,6 +534,7 @@
                 let sent = crowd * since.min(REPORT_LAG) as f64;
                 server.others + (sent - self.pace(now, server) * since as f64) / 1e6
             }
+            _ if self.warmth(now, server) < 1.0 => 0.0, // its share keeps it from being full
             _ => self.readers.load * server.weight,
         };
         server.unread + others.max(0.0)
@@ -556,6 +556,7 @@
         let read_at = open.attempts.iter().rev().find(|a| a.entry.id == reader).map(|a| a.entry);
         let entry = read_at.or(self.servers.get(&reader).map(|s| s.entry));
         let slow = SLOW_LEAST * self.class(&open.request).aim as f64 / 1e6;
+        let in_cell = entry.map_or(0, |e| self.roster.writers_of(e.cell));
         let mut found = Vec::new();
         for sid in self.roster.writers(&mut self.rng, entry.map(|e| e.cell), LOOK_AT) {
             let Some(server) = self.servers.get(&sid) else { continue };
@@ -569,7 +570,9 @@
                 (true, false, _) => (2, share),
                 (false, near, _) => (4 - u8::from(near), f64::from(server.streams) / server.weight),
             };
-            let (barred, last_resort) = (self.barred(now, server, open), self.unwilling(now, server, open));
+            let among = if near { in_cell as f64 } else { self.writers.count };
+            let barred = self.barred(now, server, open, among);
+            let last_resort = self.unwilling(now, server, open);
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Write { near, memory: share, wait, room, streams: server.streams };
                 looked.push(Candidate { server: sid, barred, last_resort, class, cost });
@@ -605,7 +608,8 @@
 
     // ---- what may be sent where
 
-    fn barred(&self, now: Micros, server: &Server, open: &Open) -> Option<Barred> {
+    /// The request goes to one among so many.
+    fn barred(&self, now: Micros, server: &Server, open: &Open, among: f64) -> Option<Barred> {
         if server.entry.state != ServerState::Ready {
             Some(Barred::Draining)
         } else if server.weight <= 0.0 {
@@ -613,7 +617,8 @@
         } else if !self.effect_allows(now, &server.entry, open) {
             Some(Barred::MayHaveRun)
         } else {
-            (now < server.cold_until && self.warmth(now, server) < 1.0).then_some(Barred::ColdPause)
+            let cold = self.warmth(now, server) < 1.0 && !self.is_share(now, server, open.lot, among);
+            cold.then_some(Barred::ColdShare)
         }
     }
 
@@ -634,14 +639,11 @@
         })
     }
 
-    /// Time between two sends to a cold server: a part of the own share of its budget, guessed from what warm
-    /// ones bear. The first falls by lot within it: hundreds that learn of a start must not send at once.
-    fn cold_pause(&self, role: Role, weight: f64) -> Micros {
-        let rules = &self.settings.rules;
-        let borne = if role == Role::Reader { self.readers.rate } else { self.writers.rate };
-        let rate = COLD_PART * weight * rules.fall_multiple * rules.cold_from * borne;
-        let least = f64::from(self.settings.dispatchers) * rules.fall_after as f64;
-        (1e6 / rate.max(1e-9)).min(least) as Micros
+    /// Whether a request is of the part that a cold server may be sent. A part of the requests needs no count
+    /// of those who send: it sums up right over any number of dispatchers, known or not, busy or idle.
+    fn is_share(&self, now: Micros, server: &Server, lot: u64, among: f64) -> bool {
+        let budget = COLD_PART * self.settings.rules.fall_multiple * self.warmth(now, server);
+        even_lot(lot, server.entry.id) < budget * server.weight / among.max(1.0)
     }
 
     /// Share of its capacity that a server surely has, by the time since its start.
@@ -675,10 +677,8 @@
         let answer = hinted.unwrap_or(request.max_tokens as f64 * ANSWER_PART);
         let held = request.prompt_tokens as f64 + answer;
 
-        let pause = self.cold_pause(server.role, server.weight);
         let Some(server) = self.servers.get_mut(&to) else { return };
         (server.out, self.out) = (server.out + 1, self.out + 1);
-        server.cold_until = now + pause;
         if reads {
             server.unread += missing;
             record(now, server, &request);
@@ -770,7 +770,6 @@
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.started) else { return };
         let Some(&a) = open.attempts.get(attempt as usize).filter(|a| !a.ended) else { return };
         open.started = true;
-        self.borne[1] += 1.0;
         open.state = None;
         let took = now - a.sent;
         match a.crossing {
@@ -817,10 +816,7 @@
             learn(now, server, &open.request, a, &ended);
         }
         match ended.outcome {
-            Outcome::Read => {
-                open.state = Some((from, now));
-                self.borne[0] += 1.0;
-            }
+            Outcome::Read => open.state = Some((from, now)),
             Outcome::NoState => {
                 open.state = None;
                 out.push(Action::Release(id));
@@ -906,10 +902,7 @@
             let kind = self.settings.kinds.get(usize::from(entry.kind.0));
             let Some(kind) = kind.filter(|_| !gone) else { continue };
             let (role, memory, weight) = (kind.role, kind.memory_tokens as f64, entry.weight);
-            let pause = self.cold_pause(role, 1.0) as f64 * self.rng.random::<f64>();
-            let cold_until = now + pause as Micros;
-            let fresh =
-                || Server { entry, role, memory, weight, heard: now, cold_until, ..Server::default() };
+            let fresh = || Server { entry, role, memory, weight, heard: now, ..Server::default() };
             self.servers.entry(entry.id).or_insert_with(fresh).entry = entry;
         }
         self.out = self.servers.values().map(|server| server.out).sum();
@@ -966,17 +959,16 @@
         self.first_tokens.decay(now);
         self.writers.wait = (self.first_tokens.seconds + 0.1) / (self.first_tokens.work + 1.0);
         let (mut near, mut least, mut work, mut seconds) = (0.0, f64::INFINITY, FIRST_PACE, 1.0);
-        let mut sums = [(0.0, 0.0, Fleet::default()); 2]; // heard, warm, and the rest, of readers and others
+        let mut sums = [(0.0, Fleet::default()); 2]; // heard, and the rest, of readers and others
         for server in self.servers.values() {
             let reading = server.role == Role::Reader;
-            let (heard, warm, fleet) = &mut sums[usize::from(!reading)];
+            let (heard, fleet) = &mut sums[usize::from(!reading)];
             if server.reported.is_some_and(|at| now - at < REPORT_OLD) {
                 fleet.load += self.load(now, server, 0.0) - server.unread;
                 fleet.memory += server.report.memory_share.unwrap_or(0.0);
                 *heard += 1.0;
             }
             fleet.count += 1.0;
-            *warm += if self.warmth(now, server) < 1.0 { 0.0 } else { 1.0 };
             if reading {
                 near += f64::from(server.entry.zone == self.settings.zone);
                 let mut own = server.pace;
@@ -989,13 +981,11 @@
         }
         self.near_readers = near;
         self.writers.least = if least.is_finite() { least } else { self.writers.wait };
-        let age = f64::max((now - self.born) as f64 / 1e6, PACE_HALF_LIFE / 1e6);
-        for (reading, (heard, warm, sum)) in [true, false].into_iter().zip(sums) {
+        for (reading, (heard, sum)) in [true, false].into_iter().zip(sums) {
             let fleet = if reading { &mut self.readers } else { &mut self.writers };
             let count = f64::max(heard, 1.0);
             (fleet.count, fleet.load, fleet.memory) = (sum.count, sum.load / count, sum.memory / count);
             fleet.pace = work / seconds;
-            fleet.rate = self.borne[usize::from(!reading)] / age / f64::max(warm, 1.0);
         }
     }
 
--- a/src/expect/reasons.rs
+++ b/src/expect/reasons.rs
@@ -39,7 +39,7 @@
         Barred::Draining => "it drains",
         Barred::NoWeight => "its weight is 0",
         Barred::MayHaveRun => "the request may have run elsewhere and must not run twice",
-        Barred::ColdPause => "it is cold, and this conductor's part of its budget is used up for now",
+        Barred::ColdShare => "it is cold, and this request is not of the part that is for it",
         Barred::Role => "it does not read",
         Barred::Memory => "it holds more memory than the writers do on average",
         Barred::LastAttempt => "one attempt is left, and after a read the answer would need another",
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -653,8 +653,8 @@
     NoWeight,
     /// The request may have run elsewhere, and must not run a second time.
     MayHaveRun,
-    /// It is cold, and this dispatcher's part of its budget is used up for now.
-    ColdPause,
+    /// It is cold, and the request is not one of the part that is for it.
+    ColdShare,
     /// It can't do this.
     Role,
     /// A mixed server that holds more memory than its share.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -123,6 +123,11 @@
         once(found)
     }
 
+    /// How many writers a cell has.
+    pub fn writers_of(&self, cell: CellId) -> usize {
+        self.writers_of.get(&cell).map_or(0, Vec::len)
+    }
+
     /// Writers to choose among: those of the cell, and others.
     pub fn writers(&self, rng: &mut impl Rng, cell: Option<CellId>, look: Look) -> Vec<ServerId> {
         let mut found = Vec::new();
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -367,6 +367,36 @@
     assert!(sends <= 10, "{sends} sends to a cold server within 0.3 s, from 200 dispatchers");
 }
 
+/// Failure: each of many dispatchers waits for a turn at a cold server and then has no request to use it for, so that
+/// the cold one idles while all others are jammed.
+#[test]
+fn many_dispatchers_together_use_a_cold_server_while_others_are_jammed() {
+    let (mut sends, mut requests) = (0, 0);
+    for seed in 0..200 {
+        let mut stand = thin_stand(seed, 200);
+        let cold = ServerEntry { started: Some(stand.now), ..server(1_000, READER, 0) };
+        stand.list(ListScope::Changes, vec![cold]);
+        for n in 0..5 {
+            for jammed in 0..20 {
+                let (server, report) = (ServerId(10 * jammed), report(0.1, 30_000.0));
+                stand.feed(Event::Probed { server, outcome: Outcome::Served, took: MS, report });
+            }
+            stand.accept(request(n, stand.now));
+            requests += 1;
+            stand.pass(200 * MS);
+        }
+        sends += stand.sends.iter().filter(|(.., to)| *to == cold.id).count();
+    }
+    let rules = settings().rules;
+    let even = f64::from(requests) / 21.0;
+    let budget = rules.fall_multiple * rules.cold_from * even;
+    let sends = sends as f64;
+    assert!(
+        sends > 0.3 * budget && sends < 0.8 * budget,
+        "{sends} sends to a cold server, its budget is {budget:.0}"
+    );
+}
+
 #[test]
 fn the_best_candidates_are_asked_before_the_choice() {
     let mut settings = settings();
