Move the inline test modules to test files of their own

Tests stand in test files, so that a module's text is the program alone. Ten modules had theirs inline; each is now `x/tests.rs` beside `x.rs`, the tests unchanged but for their indentation.

The check of the imports in tests/shape.rs counts that it sees over eighty uses. The moved files use the module beside them and would have counted for it, so it leaves test files out of the sum; the check itself still reads them.

--- a/src/protocol/framing.rs
+++ b/src/protocol/framing.rs
@@ -45,31 +45,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_head_that_can_be_taken_in_two_ways_is_bad() {
-        let read = |headers: &str| framing(format!("POST /v1/x HTTP/1.1\r\n{headers}\r\nrest").as_bytes());
-        assert_eq!(read(""), Framing::Sized(23, 0));
-        assert_eq!(read("Content-Length: 4\r\ncontent-length: 4\r\n"), Framing::Sized(61, 4));
-        assert_eq!(read("Transfer-Encoding: chunked\r\n"), Framing::Chunked(51));
-        for bad in [
-            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
-            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
-            "Content-Length: 4\r\nContent-Length: 5\r\n",
-            "Content-Length: -4\r\n",
-            "Content-Length: +4\r\n",
-            "Content-Length: 4, 4\r\n",
-            "Content-Length: 99999999999999999999\r\n",
-            "No colon\r\n",
-        ] {
-            assert_eq!(read(bad), Framing::Bad, "{bad}");
-        }
-        assert_eq!(framing(b"POST /v1/x HTTP/1.1\r\nX-Fa"), Framing::Partial);
-        assert_eq!(
-            framing(&[b"GET / HTTP/1.1\r\nX: ", "x".repeat(MOST_HEAD).as_bytes()].concat()),
-            Framing::Bad
-        );
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/protocol/platform/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+#[test]
+fn reports_are_read_by_the_fields_of_the_settings() {
+    let fields = [ReportField::Unused, ReportField::MemoryShare];
+    let read = report("TEXT util=0.61, queue=2, x0=0.25, x1=9", &fields).expect("a report");
+    assert_eq!(read, Report { memory_share: Some(0.25), ..Report::default() });
+    let queued = Report { waiting: Some(2.0), ..Report::default() };
+    assert_eq!(report("TEXT util=0.61, queue=2", &[ReportField::Waiting]), Some(queued));
+    assert_eq!(report("TEXT load_share=0.61, depth=2", &[ReportField::Waiting]), Some(queued));
+    assert_eq!(report("TEXT x0=nan", &fields), None);
+    assert_eq!(report("", &fields), None);
+}
+
+#[test]
+fn the_tail_of_a_stream_tells_kept_tokens_and_load_across_parts() {
+    let mut tail = Tail::default();
+    let text = concat!(
+        "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n",
+        "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n",
+        "data: [DONE]\n\n: X-Backend-Load: TEXT x0=0.5\n\n",
+    );
+    let mut passed = Vec::new();
+    for part in text.as_bytes().chunks(7) {
+        let whole = tail.feed(Bytes::copy_from_slice(part)).expect("events");
+        assert!(whole.is_empty() || whole.ends_with(b"\n\n"), "{whole:?}");
+        passed.extend_from_slice(&whole);
+    }
+    assert_eq!((passed.as_slice(), tail.rest()), (text.as_bytes(), Ok(Bytes::new())));
+    assert_eq!((tail.kept_tokens, tail.load.as_deref()), (4096, Some("TEXT x0=0.5")));
+}
+
+#[test]
+fn what_is_no_event_spoils_a_stream() {
+    let feed = |text: &str| Tail::default().feed(Bytes::from(text.to_string()));
+    assert_eq!(feed("data: 1\n\n2a\r\ndata: 2\n\n"), Err(Spoilt));
+    assert_eq!(
+        feed("data: 1\n\n: X-Backend-Load: TEXT what=?\n\nda"),
+        Ok("data: 1\n\n: X-Backend-Load: TEXT what=?\n\n".into())
+    );
+    let mut tail = Tail::default();
+    let endless = std::iter::repeat_with(|| tail.feed("data: xxxxxxxx".repeat(1024).into())).take(40);
+    assert_eq!(endless.last(), Some(Err(Spoilt)));
+}
+
+#[test]
+fn only_an_unprocessed_mark_proves_that_a_request_was_turned_away() {
+    let marked = HeaderMap::from_iter([(UNPROCESSED.parse().expect("a name"), http::HeaderValue::from(1))]);
+    let plain = HeaderMap::new();
+    let read = |status: u16, headers| outcome(StatusCode::from_u16(status).expect("a status"), headers);
+    assert_eq!((read(503, &marked), read(503, &plain)), (Outcome::Full, Outcome::Error));
+    assert_eq!((read(410, &marked), read(410, &plain)), (Outcome::NoState, Outcome::Error));
+    assert_eq!((read(202, &plain), read(500, &marked)), (Outcome::Read, Outcome::Error));
+}
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -105,7 +105,9 @@
     let files: Vec<String> = all.iter().map(|(path, _)| name(path)).collect();
     let edges: Vec<(String, Vec<String>)> =
         all.iter().map(|(path, text)| (name(path), uses(path, text, &files))).collect();
-    assert!(edges.iter().map(|(_, to)| to.len()).sum::<usize>() > 80, "the uses are seen");
+    // Test files use the module they stand beside and would count for it.
+    let seen = edges.iter().filter(|(from, _)| !from.ends_with("/tests")).map(|(_, to)| to.len());
+    assert!(seen.sum::<usize>() > 80, "the uses are seen");
     for (from, to) in &edges {
         for other in to {
             let back = edges.iter().find(|(name, _)| name == other).is_some_and(|(_, to)| to.contains(from));
