Begin nothing for clients that have gone behind unread bytes or a full mailbox

Seen: with a whole further request behind the open one, a client's FIN or reset was noticed only when its answer was written: the attempt at the server went on (1.2 s in the story, then a second copy), and a request whose client had gone before its connection was taken was sent on. hyper looks for the end of a connection only while its read buffer is empty (`mid_message_detect_eof`), and the gate hands it the whole head of the next request. Ruled out by stories: plain closes, resets and shut sides with nothing or half a head behind, closes amid a body (hyper reads on there). Second, the message that a client has gone may stand behind 4,096 others while the module's actor sends for it.

Change: `door::tend` watches each connection for the hang-up beside hyper (readiness of the socket alone: nothing is read, no memory is held), and ends it if a request is open. The gate shares the stream with that watch. The module's actor looks at the receiver of the answer before it takes a request in and before it sends an attempt.

Measured: tests/clients.rs, four stories.

--- a/src/transport/front/door.rs
+++ b/src/transport/front/door.rs
@@ -5,7 +5,7 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io::{self, Read};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -75,7 +75,7 @@
                     let _ = stream.set_nodelay(true);
                     let place = self.lines.enter(permit);
                     return Gate {
-                        stream,
+                        stream: Arc::new(stream),
                         place,
                         held: BytesMut::new(),
                         pass: 0,
@@ -112,6 +112,8 @@
 /// Serves one connection until it ends, is idle or late for too long, or has to go.
 async fn tend(gate: Gate, routes: Router) {
     let line = gate.place.line.clone();
+    let mut hung_up = pin!(hung_up(gate.stream.clone()));
+    let mut gone = false;
     let service = service_fn(|request| answer(request, routes.clone(), line.clone()));
     let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
     loop {
@@ -127,14 +129,56 @@
             }
             continue;
         }
+        // hyper looks for the client's end only while it has nothing more to read, so a further request hides it.
+        let ended = poll_fn(|cx| {
+            let ended = connection.as_mut().poll(cx).is_ready();
+            gone = gone || hung_up.as_mut().poll(cx).is_ready();
+            if ended || gone && line.is_busy() { Poll::Ready(()) } else { Poll::Pending }
+        });
         tokio::select! {
-            _ = connection.as_mut() => return,
+            () = ended => return,
             () = line.stirred.notified() => {}
             () = crate::transport::clock::sleep_until(ends) => {}
         }
     }
 }
 
+/// Ends once the client has shut its side or reset the connection, also behind bytes that nobody has read. What it
+/// waits for is urgent data or that end, and the first is never told: sockets are registered for plain data only.
+async fn hung_up(stream: Arc<TcpStream>) {
+    let _ = stream.ready(Interest::PRIORITY).await;
+}
+
+/// Reads what has come on a connection.
+fn read(stream: &TcpStream, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read(out.initialize_unfilled()) {
+            Ok(read) => {
+                out.advance(read);
+                return Poll::Ready(Ok(()));
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+    }
+}
+
+/// Writes by what is tried whenever a connection takes more.
+fn write(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    attempt: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match attempt(stream) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
 async fn answer(
     request: Request<Incoming>,
     mut routes: Router,
@@ -199,7 +243,8 @@
 
 /// A client's connection, on which only whole and unambiguous heads pass.
 struct Gate {
-    stream: TcpStream,
+    /// Shared with whoever waits for the client's end.
+    stream: Arc<TcpStream>,
     place: Place,
     held: BytesMut,
     /// So much of what is held may pass.
@@ -271,10 +316,10 @@
                     if gate.held.is_empty() && gate.place.line.evicted() {
                         // Past what the runtime has heard of: it may have come since. Anything else is the end.
                         let came =
-                            (&*SockRef::from(&gate.stream)).read(part.initialize_unfilled()).unwrap_or(0);
+                            (&*SockRef::from(&*gate.stream)).read(part.initialize_unfilled()).unwrap_or(0);
                         part.advance(came);
                     } else {
-                        ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                        ready!(read(&gate.stream, cx, &mut part))?;
                     }
                     if part.filled().is_empty() {
                         return Poll::Ready(Ok(()));
@@ -288,14 +333,14 @@
                 Reading::Body(left) => {
                     let most = usize::try_from(left).unwrap_or(usize::MAX).min(out.remaining());
                     let mut part = ReadBuf::new(out.initialize_unfilled_to(most));
-                    ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+                    ready!(read(&gate.stream, cx, &mut part))?;
                     let read = part.filled().len();
                     out.advance(read);
                     gate.count(read);
                     return Poll::Ready(Ok(()));
                 }
                 Reading::Rest if !gate.held.is_empty() => gate.pass = gate.held.len(),
-                Reading::Rest => return Pin::new(&mut gate.stream).poll_read(cx, out),
+                Reading::Rest => return read(&gate.stream, cx, out),
             }
         }
     }
@@ -312,35 +357,38 @@
 }
 
 impl AsyncWrite for Gate {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        write(&self.stream, cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        write(&self.stream, cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.place.line.flushed();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let gate = &mut *self;
-        ready!(Pin::new(&mut gate.stream).poll_shutdown(cx))?;
+        match SockRef::from(&*gate.stream).shutdown(Shutdown::Write) {
+            // The client has ended it all already.
+            Err(error) if error.kind() != io::ErrorKind::NotConnected => return Poll::Ready(Err(error)),
+            _ => {}
+        }
         while gate.place.line.is_over() && gate.passed_over < PASSED_OVER {
             let mut space = [0; READ];
             let mut part = ReadBuf::new(&mut space);
-            ready!(Pin::new(&mut gate.stream).poll_read(cx, &mut part))?;
+            ready!(read(&gate.stream, cx, &mut part))?;
             match part.filled().len() {
                 0 => break,
                 more => gate.passed_over += more,
--- a/src/transport/front/line.rs
+++ b/src/transport/front/line.rs
@@ -125,6 +125,11 @@
         self.state().stage == Stage::Over
     }
 
+    /// Whether it has a request open, or an answer that is not yet written out.
+    pub fn is_busy(&self) -> bool {
+        matches!(self.state().stage, Stage::Open | Stage::Answered)
+    }
+
     /// A head is complete; gives the time by which its body has to be.
     pub fn open(&self) -> Instant {
         let mut state = self.state();
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -108,6 +108,8 @@
             Message::Request(_, payload, reply) if self.ids.contains(&payload.id) => {
                 let _ = reply.send(Reply::IdIsOpen);
             }
+            // Its client has gone while it stood in the mailbox: it is as if it had never come.
+            Message::Request(_, _, reply) if reply.is_closed() => {}
             Message::Request(admission, payload, reply) => {
                 self.ids.insert(payload.id.clone());
                 let held =
@@ -183,6 +185,12 @@
             Output::Send { pool, request, attempt, server, time_left, generation } => {
                 let peer = self.peer(pool, server);
                 let Some(held) = self.held.get_mut(&request) else { return };
+                // Its client has gone, and the message that says so still stands in the mailbox.
+                if held.reply.as_ref().is_some_and(oneshot::Sender::is_closed) {
+                    let (outcome, kept_tokens, report) = (Outcome::NotSent, 0, None);
+                    let ended = Input::Ended { request, attempt, outcome, kept_tokens, report };
+                    return self.again([Input::Gone(request), ended]);
+                }
                 let payload = held.payload.clone();
                 let send = Attempt { request, number: attempt, payload, time_left, generation };
                 match peer {
@@ -192,7 +200,7 @@
                     }
                     None => {
                         let (outcome, kept_tokens, report) = (Outcome::ConnectFailed, 0, None);
-                        self.again(Input::Ended { request, attempt, outcome, kept_tokens, report });
+                        self.again([Input::Ended { request, attempt, outcome, kept_tokens, report }]);
                     }
                 }
             }
@@ -221,7 +229,7 @@
                 let id = held.payload.id.clone();
                 match self.peer(pool, server) {
                     Some(peer) => tell(&peer, ToPeer::LetGo(request, id)).await,
-                    None => self.again(Input::LetGo(request, false)),
+                    None => self.again([Input::LetGo(request, false)]),
                 }
             }
             Output::Hold(pool, request, server) => {
@@ -236,7 +244,7 @@
                     tell(&peer, ToPeer::Probe).await;
                 } else {
                     let (outcome, took, report) = (Outcome::ConnectFailed, 0, None);
-                    self.again(Input::Probed { pool, server, outcome, took, report });
+                    self.again([Input::Probed { pool, server, outcome, took, report }]);
                 }
             }
             Output::CloseIdle(pool, server) => {
@@ -268,10 +276,14 @@
     }
 
     /// Feeds something back by way of the mailbox, so that it meets the core in a turn of its own.
-    fn again(&self, input: Input) {
+    fn again<const N: usize>(&self, inputs: [Input; N]) {
         if let Some(pool) = self.pools.first() {
             let hub = pool.common.hub.clone();
-            tokio::spawn(async move { hub.send(Message::Input(input)).await });
+            tokio::spawn(async move {
+                for input in inputs {
+                    hub.send(Message::Input(input)).await;
+                }
+            });
         }
     }
 }
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,291 @@
+//! Stories of clients that go: whatever they leave behind, nothing is begun for them any more.
+
+mod peers;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use milletseam::interface::*;
+use milletseam::membership::{Cause, Generation, Member};
+use milletseam::protocol::config::Config;
+use milletseam::recovery;
+use milletseam::routing::{Admission, Core};
+use milletseam::transport::budget::Budget;
+use milletseam::transport::clock::Clock;
+use milletseam::transport::hub::{self, message::*};
+use milletseam::transport::peer::{Common, Dialect, connector};
+use peers::*;
+use serde_json::{Value, json};
+use socket2::{SockRef, Socket};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Going {
+    Closes,
+    Resets,
+    /// It may still read, but nobody can tell that from a close.
+    ShutsItsSide,
+}
+
+const GOINGS: [Going; 3] = [Going::Closes, Going::Resets, Going::ShutsItsSide];
+
+/// A client of the platform's front that leaves unread bytes behind.
+struct Client(TcpStream);
+
+impl Client {
+    async fn send(conductor: &Conductor, text: &str) -> Self {
+        let mut stream = TcpStream::connect(&conductor.front).await.expect("a connection");
+        stream.write_all(text.as_bytes()).await.expect("the other side reads");
+        Client(stream)
+    }
+
+    /// Goes; what is left of it has to be kept for as long as it may still read.
+    async fn go(mut self, going: Going) -> Option<Self> {
+        match going {
+            Going::Closes => drop(self),
+            Going::Resets => {
+                SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("an option");
+                drop(self);
+            }
+            Going::ShutsItsSide => {
+                self.0.shutdown().await.expect("it is open");
+                return Some(self);
+            }
+        }
+        None
+    }
+}
+
+/// A request, and what its client has sent behind it: nothing, a part of a further one, a whole one, or more than
+/// anybody reads ahead.
+fn requests(id: &str) -> [String; 4] {
+    let asks = platform_request(id, "book", 15_000, "{}");
+    let behind = platform_request(&format!("{id}-behind"), "book", 15_000, "{}");
+    [
+        asks.clone(),
+        format!("{asks}POST /v1/chat/comp"),
+        format!("{asks}{behind}"),
+        format!("{asks}{}", behind.repeat(200)),
+    ]
+}
+
+/// A conductor with so many descriptors before these servers, whose discovery tells the same list.
+async fn conductor(servers: &[Value], change: impl FnOnce(&mut Value)) -> Conductor {
+    let mut discovery = Peer::start().await;
+    let mut config = config(&discovery.address, servers);
+    config["admin"] = json!("127.0.0.1:0");
+    change(&mut config);
+    let whole = list(1, true, servers).to_string();
+    tokio::spawn(async move {
+        discovery.next().await.answer("200 OK", "", &whole).await;
+        let _silent = discovery.next().await;
+        std::future::pending::<()>().await;
+    });
+    Conductor::start_with(config, "").await
+}
+
+/// A figure that operators read.
+async fn figure(conductor: &Conductor, name: &str) -> u64 {
+    let mut wire = Wire::connect(&conductor.admin).await;
+    wire.write("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    let text = wire.rest().await;
+    let (_, figure) = text.split_once(&format!("app.{name}:")).unwrap_or_else(|| panic!("{name} in {text}"));
+    figure.split('|').next().expect("a figure").parse().expect("a number")
+}
+
+/// Failure: an attempt goes on, or a further one begins, for a client that has gone while bytes behind its request
+/// hide its end.
+#[test]
+fn whoever_goes_during_an_attempt_ends_it_whatever_stands_behind_the_request() {
+    story(async {
+        let (mut reader, mut other) = (Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-o", &other.address, "reader")];
+        let conductor = conductor(&servers, |_| {}).await;
+        for (n, going) in GOINGS.into_iter().enumerate() {
+            for (m, request) in requests(&format!("g{n}")).into_iter().enumerate() {
+                let request = request.replace(&format!("g{n}"), &format!("g{n}-{m}"));
+                let client = Client::send(&conductor, &request).await;
+                let mut seen = tokio::select! {
+                    seen = reader.next() => seen,
+                    seen = other.next() => seen,
+                };
+                let went = Instant::now();
+                let _left = client.go(going).await;
+                assert_eq!(seen.wire.rest().await, "", "the attempt is closed: {going:?}, {m}");
+                assert!(went.elapsed() < Duration::from_secs(1), "{:?}: {going:?}, {m}", went.elapsed());
+                let let_go = format!("DELETE /kv/leases/g{n}-{m} ");
+                // What a read may have left is let go of twice.
+                while !tokio::select! {
+                    head = reader.next_let_go() => head,
+                    head = other.next_let_go() => head,
+                }
+                .starts_with(&let_go)
+                {}
+            }
+        }
+        // Whatever had been begun for them would have come before this one.
+        let _marker = conductor.ask("marker", "ask", 4000).await;
+        let seen = tokio::select! {
+            seen = reader.next() => seen,
+            seen = other.next() => seen,
+        };
+        assert!(seen.head.contains("marker"), "{}", seen.head);
+        assert_eq!(reader.unseen() + other.unseen(), 0);
+    });
+}
+
+/// Failure: a request is begun whose client had gone before its connection was taken, or amid its body.
+#[test]
+fn whoever_has_gone_before_its_connection_is_taken_or_amid_its_body_has_asked_nothing() {
+    story(async {
+        let mut reader = Peer::start().await;
+        let servers = [member("s-r", &reader.address, "reader")];
+        let conductor = conductor(&servers, |config| config["limits"]["sockets"] = json!(64)).await;
+        for (round, going) in GOINGS.into_iter().enumerate() {
+            // All places for clients are taken by requests that are open.
+            let mut open = Vec::new();
+            for n in 0..12 {
+                let client = conductor.ask(&format!("open-{round}-{n}"), "book", 15_000).await;
+                open.push((client, reader.next().await));
+            }
+            let mut left = Vec::new();
+            for request in requests(&format!("early-{round}")) {
+                left.push(Client::send(&conductor, &request).await.go(going).await);
+            }
+            let half = platform_request(&format!("half-{round}"), "book", 15_000, "half a body")
+                .replace("a body", "");
+            left.push(Client::send(&conductor, &half).await.go(going).await);
+            for (client, mut seen) in open {
+                drop(client);
+                assert_eq!(seen.wire.rest().await, "", "it is closed");
+            }
+            let marker = conductor.ask(&format!("marker-{round}"), "book", 15_000).await;
+            let mut seen = reader.next().await;
+            assert!(seen.head.contains("marker"), "{going:?}: {}", seen.head);
+            drop((marker, left));
+            assert_eq!(seen.wire.rest().await, "", "it is closed");
+            while figure(&conductor, "in_progress").await > 0 {}
+            assert_eq!(reader.unseen(), 0, "{going:?}");
+        }
+    });
+}
+
+/// Failure: a request whose client has gone waits on for a connection to its server, and is sent once that comes up.
+#[test]
+fn whoever_goes_while_the_servers_connection_does_not_come_up_is_not_sent_on() {
+    story(async {
+        // A queue of one connection, which is full: the system answers no other.
+        let socket = Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let address = socket.local_addr().expect("an address").as_socket().expect("an address").to_string();
+        let _full = TcpStream::connect(&address).await.expect("a connection");
+        let servers = [member("s-r", &address, "reader")];
+        let conductor = conductor(&servers, |config| {
+            config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(15_000.0);
+            config["settings"]["Limits"]["Probes"] = json!(false);
+            config["settings"]["Report"]["Source"] = json!("none");
+        })
+        .await;
+        for (round, going) in GOINGS.into_iter().enumerate() {
+            for (n, request) in requests("hangs").into_iter().enumerate() {
+                let request = request.replace("hangs", &format!("hangs-{round}-{n}"));
+                let client = Client::send(&conductor, &request).await;
+                while figure(&conductor, "in_progress").await == 0 {}
+                let went = Instant::now();
+                let _left = client.go(going).await;
+                while figure(&conductor, "in_progress").await > 0 {}
+                assert!(went.elapsed() < Duration::from_secs(1), "{:?}: {going:?}", went.elapsed());
+            }
+        }
+        socket.set_nonblocking(true).expect("an option");
+        let listener = tokio::net::TcpListener::from_std(socket.into()).expect("a listener");
+        let _marker = conductor.ask("marker", "book", 15_000).await;
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let mut wire = Wire::of(stream);
+            let heard = tokio::time::timeout(Duration::from_millis(300), wire.until("\r\n\r\n")).await;
+            if let Ok(Some(head)) = heard {
+                if head.contains("marker") {
+                    break;
+                }
+                assert!(!head.contains("hangs") || head.starts_with("DELETE"), "{head}");
+            }
+        }
+    });
+}
+
+/// Failure: a request is begun, or sent to a second server, for a client of which the module has not been told yet
+/// that it has gone, as that message stands behind many others.
+#[test]
+fn for_whoever_has_gone_nothing_is_begun_before_the_message_that_says_so() {
+    story(async {
+        let (mut reader, mut other) = (Peer::start().await, Peer::start().await);
+        let config = Config::parse(&config("", &[]).to_string()).expect("a configuration");
+        let (settings, links) = (config.settings.settings().expect("settings"), config.settings.links());
+        let (links, clock) = (links.expect("settings"), Clock::start());
+        let mut core = Core::default();
+        let pool = core.add_pool(settings, 7, clock.now()).expect("settings");
+        let budget = Budget::new(256, recovery::Socket::Own, clock);
+        let client = connector::client(links, budget.peers.clone());
+        let (mut actor, hub) = hub::new(core, clock, budget);
+        let names = config.settings.clone().names();
+        let fields = names.report.clone().into();
+        let common = Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields };
+        actor.add_pool(common, names.classes);
+        tokio::spawn(actor.run());
+        let member = |id: u32, address: &str| Member {
+            entry: ServerEntry { id: ServerId(id), ..ServerEntry::plain() },
+            name: id.to_string().into(),
+            address: address.into(),
+        };
+        let members = vec![member(1, &reader.address), member(2, &other.address)];
+        let list = Generation { number: 1, cause: Cause::Discovery, members, files: Default::default() };
+        hub.send(Message::List(pool, Arc::new(list))).await;
+        // As a handler hands requests in, but the message that their clients have gone never comes.
+        let request = |number: u8, id: &str| {
+            let (reply, answer) = oneshot::channel();
+            let head = platform_request(id, "ask", 4000, "{}");
+            let headers = [("x-correlation-id", id)].map(|(name, value)| {
+                (http::HeaderName::from_static(name), http::HeaderValue::from_str(value).expect("a header"))
+            });
+            let payload = Payload {
+                id: id.to_string(),
+                method: http::Method::POST,
+                path: head.split(' ').nth(1).expect("a path").to_string(),
+                headers: headers.into_iter().collect(),
+                body: "{}".into(),
+            };
+            let request = Request { id: RequestId([number; 36]), prompt_tokens: 800, ..Request::plain() };
+            let admission = Admission { pool, request, time_left: 4_000_000 };
+            (Message::Request(Box::new(admission), Arc::new(payload), reply), answer)
+        };
+        let (message, answer) = request(1, "never");
+        drop(answer);
+        hub.send(message).await;
+        let (message, answer) = request(2, "between");
+        hub.send(message).await;
+        let mut seen = tokio::select! {
+            seen = reader.next() => seen,
+            seen = other.next() => seen,
+        };
+        assert!(seen.head.contains("between"), "{}", seen.head);
+        drop(answer);
+        seen.answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "").await;
+        while hub.counted().await.totals.open > 0 {}
+        let (message, _answer) = request(3, "marker");
+        hub.send(message).await;
+        let seen = tokio::select! {
+            seen = reader.next() => seen,
+            seen = other.next() => seen,
+        };
+        assert!(seen.head.contains("marker"), "{}", seen.head);
+        assert_eq!(reader.unseen() + other.unseen(), 0);
+        let totals = hub.counted().await.totals;
+        assert_eq!((totals.taken, totals.gone, totals.open), (2, 1, 1), "{totals:?}");
+    });
+}
