Slow start: draw on what warm servers bore, so the sum keeps a cold server's budget

At fault in src/choice.rs: the lot drawn anew every 50 ms where nothing was found (advance), without any account of it; a share of all offered looks, which grows with load and clients' retries (is_share); 1 / writers of the cell where a cell has few writers beside many readers (rank_writers); the lot that is kept from the admission to the writer's choice, so that of a jam only requests in a cold writer's share got in (hopeless).

Change: src/slow_start.rs counts what the servers of a role bore, per warm server; each look draws from that, a look after a read from a bucket of its cell too; each look has a lot of its own. No count of processes is used.

Test many_dispatchers_together_use_a_cold_server_while_others_are_jammed: its jammed readers served nothing at all, which no jam does; each process now sees five requests served before. Its bounds are unchanged.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,6 +12,7 @@
 use crate::interface::*;
 use crate::pace::{PACE_HALF_LIFE, Pace};
 use crate::roster::{Look, Roster, even_lot};
+use crate::slow_start::{Draw, SlowStart, warmth};
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
 const OVERLAP_WEIGHT: f64 = 4.0;
@@ -76,7 +77,7 @@
 const FAULTS_LEAST: f64 = 1.2;
 /// Half of what is known of a server's errors is forgotten in this time.
 const FAULT_HALF_LIFE: f64 = 2.5e6;
-/// Part of one dispatcher's share of a cold server's budget that is used; the rest is for chance and peers.
+/// Part of a cold server's budget that is used; the rest is for chance, and for what was not drawn before.
 const COLD_PART: f64 = 0.5;
 /// Advice to a client turned away for want of capacity: the answer comes at once, its next try later.
 const RETRY_AFTER: Micros = 1_000_000;
@@ -158,8 +159,9 @@
     started: bool,
     over: bool, // the final answer is given or no longer owed
     avoid: Option<ServerId>,
-    asked: bool, // candidates were asked for reports before the next choice
-    lot: u64,    // settles of which cold servers' share it is
+    asked: bool,        // candidates were asked for reports before the next choice
+    lot: u64,           // settles of which cold servers' share it is,
+    draw: Option<Draw>, // and how large that is, once drawn for the next choice
 }
 
 impl Open {
@@ -203,7 +205,8 @@
     timers: u64,
     readers: Fleet,
     writers: Fleet,
-    near_readers: f64, // those of the own zone
+    slow_starts: [SlowStart; 2], // of readers, and of others
+    near_readers: f64,           // those of the own zone
     offered: Pace, // tokens to be read for the requests that came, taken or not, and their count as seconds
     first_tokens: Pace,
     tenants: Vec<Pace>,
@@ -219,6 +222,7 @@
         settings.check()?;
         let none = Pace { at: now, ..Pace::default() };
         Ok(Router {
+            slow_starts: [(); 2].map(|()| SlowStart::new(&settings.rules, COLD_PART)),
             links: BTreeMap::new(),
             tenants: vec![none; settings.tenants.len()],
             settings,
@@ -284,8 +288,8 @@
         let id = request.id;
         let last = request.expires.saturating_sub(self.settings.step);
         self.wake(last.max(now), Wake::Deadline(id), out);
-        let lot = self.rng.random();
-        self.requests.insert(id, Open { request, came: now, lot, ..Open::default() });
+        self.slow_starts.iter_mut().filter(|_| !request.resent).for_each(SlowStart::come);
+        self.requests.insert(id, Open { request, came: now, lot: self.rng.random(), ..Open::default() });
         self.advance(now, id, out);
     }
 
@@ -308,6 +312,11 @@
         if left == 0 || spent || now + self.settings.step >= open.request.expires {
             return self.give_up(id, LOOK_AGAIN, out);
         }
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let read = open.state.and_then(|(id, _)| open.attempts.iter().rev().find(|a| a.entry.id == id));
+        let read = read.map(|a| (a.entry.cell, self.roster.readers_of(a.entry.cell)));
+        let slow_start = &mut self.slow_starts[usize::from(read.is_some() || self.readers.count <= 0.0)];
+        open.draw.get_or_insert_with(|| slow_start.draw(now, read));
         let (ranked, new) = match open.state {
             Some((reader, _)) => (self.rank_writers(now, id, reader), false),
             None => (self.rank_readers(now, id, left > 1), true),
@@ -330,7 +339,7 @@
             None => {}
         }
         let Some(open) = self.requests.get_mut(&id) else { return };
-        open.lot = self.rng.random(); // only cold servers may be left
+        (open.lot, open.draw) = (self.rng.random(), None); // only cold servers may be left
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
@@ -461,8 +470,7 @@
                 Role::Writer if !writers_read => Some(Barred::Role),
                 _ => (self.memory_share(now, server) >= share).then_some(Barred::Memory),
             };
-            let among = if server.role == Role::Reader { self.readers.count } else { self.writers.count };
-            let barred = unfit.or_else(|| self.barred(now, server, open, among));
+            let barred = unfit.or_else(|| self.barred(now, server, open, false));
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(&open.request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
@@ -556,7 +564,6 @@
         let read_at = open.attempts.iter().rev().find(|a| a.entry.id == reader).map(|a| a.entry);
         let entry = read_at.or(self.servers.get(&reader).map(|s| s.entry));
         let slow = SLOW_LEAST * self.class(&open.request).aim as f64 / 1e6;
-        let in_cell = entry.map_or(0, |e| self.roster.writers_of(e.cell));
         let mut found = Vec::new();
         for sid in self.roster.writers(&mut self.rng, entry.map(|e| e.cell), LOOK_AT) {
             let Some(server) = self.servers.get(&sid) else { continue };
@@ -570,8 +577,7 @@
                 (true, false, _) => (2, share),
                 (false, near, _) => (4 - u8::from(near), f64::from(server.streams) / server.weight),
             };
-            let among = if near { in_cell as f64 } else { self.writers.count };
-            let barred = self.barred(now, server, open, among);
+            let barred = self.barred(now, server, open, near);
             let last_resort = self.unwilling(now, server, open);
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Write { near, memory: share, wait, room, streams: server.streams };
@@ -608,8 +614,8 @@
 
     // ---- what may be sent where
 
-    /// The request goes to one among so many.
-    fn barred(&self, now: Micros, server: &Server, open: &Open, among: f64) -> Option<Barred> {
+    /// Whether the request must not go there; near is a writer in the cell of the read.
+    fn barred(&self, now: Micros, server: &Server, open: &Open, near: bool) -> Option<Barred> {
         if server.entry.state != ServerState::Ready {
             Some(Barred::Draining)
         } else if server.weight <= 0.0 {
@@ -617,7 +623,7 @@
         } else if !self.effect_allows(now, &server.entry, open) {
             Some(Barred::MayHaveRun)
         } else {
-            let cold = self.warmth(now, server) < 1.0 && !self.is_share(now, server, open.lot, among);
+            let cold = self.warmth(now, server) < 1.0 && !self.is_share(now, server, open, near);
             cold.then_some(Barred::ColdShare)
         }
     }
@@ -639,23 +645,18 @@
         })
     }
 
-    /// Whether a request is of the part that a cold server may be sent. A part of the requests needs no count
-    /// of those who send: it sums up right over any number of dispatchers, known or not, busy or idle.
-    fn is_share(&self, now: Micros, server: &Server, lot: u64, among: f64) -> bool {
-        let budget = COLD_PART * self.settings.rules.fall_multiple * self.warmth(now, server);
-        even_lot(lot, server.entry.id) < budget * server.weight / among.max(1.0)
+    /// Whether a request is of the part that a cold server may be sent: its multiple of what a warm one has
+    /// borne of late. That sums up right over any number of dispatchers, known or not, busy or idle.
+    fn is_share(&self, now: Micros, server: &Server, open: &Open, near: bool) -> bool {
+        let draw = open.draw.map_or(0.0, |draw| if near { draw.near } else { draw.far });
+        let looks = if server.role == Role::Mixed && self.readers.count > 0.0 { 2.0 } else { 1.0 };
+        let share = self.slow_starts[usize::from(server.role != Role::Reader)].share(draw) / looks;
+        even_lot(open.lot, server.entry.id) < share * self.warmth(now, server) * server.weight
     }
 
     /// Share of its capacity that a server surely has, by the time since its start.
     fn warmth(&self, now: Micros, server: &Server) -> f64 {
-        let rules = &self.settings.rules;
-        match server.entry.started {
-            Some(at) if now < at + rules.warm_up => {
-                let part = now.saturating_sub(at) as f64 / rules.warm_up as f64;
-                rules.cold_from + (1.0 - rules.cold_from) * part
-            }
-            _ => 1.0,
-        }
+        warmth(now, &self.settings.rules, &server.entry)
     }
 
     fn class(&self, request: &Request) -> &Class {
@@ -777,6 +778,7 @@
             Some(cell) => self.links.entry(cell).or_default().add(now, 1.0, took),
             None => self.first_tokens.add(now, 1.0, took),
         }
+        self.slow_starts[1].bear(now, 1.0);
         if let Some(server) = self.servers.get_mut(&from) {
             server.served_to = server.served_to.max(a.sent);
             self.out -= u32::from(server.out > 0);
@@ -798,8 +800,9 @@
         self.hear(now, from, alive, ended.report);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(ended.attempt as usize).filter(|a| !a.ended) else { return };
-        (a.ended, open.asked) = (true, false);
+        (a.ended, open.asked, open.lot, open.draw) = (true, false, self.rng.random(), None);
         a.may_have_run &= !ended.outcome.never_ran();
+        self.slow_starts[0].bear(now, f64::from(ended.outcome == Outcome::Read));
         let begun = open.started;
         if let Some(server) = self.servers.get_mut(&from) {
             if !begun {
@@ -964,6 +967,10 @@
         self.writers.wait = (self.first_tokens.seconds + 0.1) / (self.first_tokens.work + 1.0);
         let (mut near, mut least, mut work, mut seconds) = (0.0, f64::INFINITY, FIRST_PACE, 1.0);
         let mut sums = [(0.0, Fleet::default()); 2]; // heard, and the rest, of readers and others
+        for (of, slow_start) in self.slow_starts.iter_mut().enumerate() {
+            let servers = self.servers.values().filter(|s| usize::from(s.role != Role::Reader) == of);
+            slow_start.count(now, servers.map(|s| (s.entry, s.weight)));
+        }
         for server in self.servers.values() {
             let reading = server.role == Role::Reader;
             let (heard, fleet) = &mut sums[usize::from(!reading)];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod recovery;
 pub mod roster;
 pub mod routing;
+pub mod slow_start;
 pub mod transport;
 pub mod wire;
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -29,6 +29,7 @@
     readers: Vec<ServerId>,
     writers: Vec<ServerId>,
     writers_of: BTreeMap<CellId, Vec<ServerId>>,
+    readers_of: BTreeMap<CellId, f64>,
     keepers: BTreeMap<Key, Vec<ServerId>>,
 }
 
@@ -38,6 +39,7 @@
             readers: Vec::new(),
             writers: Vec::new(),
             writers_of: BTreeMap::new(),
+            readers_of: BTreeMap::new(),
             keepers: BTreeMap::new(),
         }
     }
@@ -66,12 +68,16 @@
         self.readers.clear();
         self.writers.clear();
         self.writers_of.clear();
+        self.readers_of.clear();
         let (mut all, mut any_reader, mut idle) = (Vec::new(), false, BTreeSet::new());
+        let mut reading = 0.0;
         for (id, role, cell, takes_work) in servers {
             any_reader |= role == Role::Reader;
             all.push(id);
             if role != Role::Writer {
                 self.readers.push(id);
+                reading += 1.0;
+                *self.readers_of.entry(cell).or_default() += 1.0;
             }
             if role != Role::Reader {
                 self.writers.push(id);
@@ -85,6 +91,7 @@
             // Where no reader is listed, whether a writer may read is for the module to say.
             self.readers = all;
         }
+        self.readers_of.values_mut().for_each(|count| *count /= reading);
         for drawn in [&mut self.readers, &mut self.writers].into_iter().chain(self.writers_of.values_mut()) {
             if drawn.len() > look.all {
                 drawn.retain(|id| !idle.contains(id));
@@ -123,9 +130,9 @@
         once(found)
     }
 
-    /// How many writers a cell has.
-    pub fn writers_of(&self, cell: CellId) -> usize {
-        self.writers_of.get(&cell).map_or(0, Vec::len)
+    /// The part of all readers that a cell has; all, if it has none.
+    pub fn readers_of(&self, cell: CellId) -> f64 {
+        self.readers_of.get(&cell).copied().unwrap_or(1.0)
     }
 
     /// Writers to choose among: those of the cell, and others.
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -374,6 +374,15 @@
     let (mut sends, mut requests) = (0, 0);
     for seed in 0..200 {
         let mut stand = thin_stand(seed, 200);
+        // Jammed servers serve as much as they can: what they bear says what a cold one may be sent.
+        for n in 100..105 {
+            let one = request(n, stand.now);
+            stand.accept(one);
+            stand.pass(200 * MS);
+            stand.end(one.id, Outcome::Read);
+            stand.start(one.id);
+            stand.end(one.id, Outcome::Served);
+        }
         let cold = ServerEntry { started: Some(stand.now), ..server(1_000, READER, 0) };
         stand.list(ListScope::Changes, vec![cold]);
         for n in 0..5 {
