--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -315,7 +315,7 @@
         let number = self.numbers;
         out.job = Some(number);
         let reads = n < COUNT as usize;
-        let fails = self.case.trouble == Trouble::Errors && n % 2 == 0;
+        let fails = self.case.trouble == Trouble::Errors && n.is_multiple_of(2);
         let (outcome, at) = if fails {
             (Outcome::Error, self.now + 5 * MS)
         } else if self.free_at[n] > self.now + QUEUE {
@@ -377,8 +377,8 @@
                     for restarted in [false, true] {
                         for trouble in [Trouble::Nothing, Trouble::Errors, Trouble::OnlyCold, Trouble::Burst]
                         {
-                            let uneven = (n + m + usize::from(restarted) + trouble as usize) % 2 == 0;
-                            let probes = (m + trouble as usize) % 2 == 0;
+                            let uneven = (n + m + usize::from(restarted) + trouble as usize).is_multiple_of(2);
+                            let probes = (m + trouble as usize).is_multiple_of(2);
                             all.push(Case {
                                 processes,
                                 uneven,
