--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -377,7 +377,8 @@
                     for restarted in [false, true] {
                         for trouble in [Trouble::Nothing, Trouble::Errors, Trouble::OnlyCold, Trouble::Burst]
                         {
-                            let uneven = (n + m + usize::from(restarted) + trouble as usize).is_multiple_of(2);
+                            let uneven =
+                                (n + m + usize::from(restarted) + trouble as usize).is_multiple_of(2);
                             let probes = (m + trouble as usize).is_multiple_of(2);
                             all.push(Case {
                                 processes,
