--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -14,7 +14,7 @@
 
 const BOUND: Duration = Duration::from_micros(Times::PLATFORM.bound());
 
-/// Three readers and a writer of which nothing is asked but to be reached.
+/// Two readers and a writer of which nothing is asked but to be reached.
 struct Servers {
     old: Peer,
     new: Peer,
