Hold streams that go on to their server's pace and their client's stay

Where the program already does right the test alone: a stream longer than it was asked for is passed on, each event within 0.3 s, and its connection closed once the client has left; what nobody reads is held back; events pass out of a chunk that comes byte by byte.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -50,6 +50,17 @@
         let _ = self.stream.write_all(text.as_bytes()).await;
     }
 
+    /// Writes a text; false once the other side has hung up.
+    pub async fn takes(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        let now = Some(std::time::Duration::ZERO);
+        socket2::SockRef::from(&self.stream).set_linger(now).expect("an option");
+    }
+
     /// The rest of a chunked answer, to its last chunk.
     pub async fn rest_of_answer(&mut self) -> String {
         self.until("0\r\n\r\n").await.expect("the last chunk")
