Count the silence of a stream from its last event, and end what brings none

Seen on loopback: a server that writes comment lines for ever, or goes on with a chunk that never ends, keeps its client: any byte put off the 1 s for the first event and the 4 s of silence (Peer::stream made the clock anew for each frame), and a comment ahead of the first event began the stream, which has no deadline from then on. A 200 without length or chunks ended with its connection and was called whole (Served, with a last chunk to the client). A short answer whose body never ends kept its attempt: a 503 with X-Unprocessed was taken for one that may have run.

Now the first event has 1 s from the head, comments ahead of it are held until it comes, and the silence of 4 s is counted from the last event passed on. A body that does not tell its end is no whole stream on the platform (reset). A short body has 1 s from its head, and the head counts.

Ruled out as right before: resets long after the send, lost answers, heads that contradict themselves, odd statuses, half answers with chunks, doubled usage lines, nonsense in reports. Their stories stand alone.

--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -2,6 +2,7 @@
 //! an answer ends with.
 
 use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use serde::Deserialize;
 use thiserror::Error;
@@ -105,6 +106,11 @@
     }
 }
 
+/// Whether an answer's body tells its own end: where only its connection's end does, a part looks like the whole.
+pub fn tells_its_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 #[derive(Deserialize)]
 struct ReadReply {
     #[serde(default)]
@@ -153,6 +159,8 @@
 pub struct Tail {
     /// The event that has not ended yet.
     held: BytesMut,
+    /// Data lines so far: comments are no events.
+    pub events: u64,
     /// Prompt tokens found kept.
     pub kept_tokens: u64,
     /// The load report's text.
@@ -206,8 +214,10 @@
         const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
         let line = std::str::from_utf8(line).map_err(|_| Spoilt)?;
         let Some((name, value)) = line.split_once(':') else {
+            self.events += u64::from(line == "data");
             return if line.is_empty() || FIELDS.contains(&line) { Ok(()) } else { Err(Spoilt) };
         };
+        self.events += u64::from(name == "data");
         if name.is_empty() {
             self.load = value
                 .split_once(':')
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::{Either, select};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use self::connector::{Fate, PeerClient, Tracked, unreadable};
 use super::hub::message::{Body, Hub, Message, Part, Payload};
@@ -29,10 +30,10 @@
 const PARTS_AHEAD: usize = 32;
 /// The most of a short answer that is read.
 const MOST_REPLY: usize = 64 * 1024;
-/// A stream that has begun and brings nothing for so long has stopped, whatever its connection says. Whoever
-/// waits for it is owed the end within 5 s of the last event.
+/// A stream that has begun and brings no event for so long has stopped, whatever its connection or comments say.
+/// Whoever waits for it is owed the end within 5 s of the last event (the platform's figure).
 const SILENT: Duration = Duration::from_millis(4_000);
-/// The head of an answer comes with the first token: its first event is as good as here.
+/// The head of an answer comes with the first token: its first event, or its short body, is as good as here (a guess).
 const FIRST_EVENT: Duration = Duration::from_millis(1_000);
 /// A call that lets go of a state is given up after this: others have long been asked.
 const LET_GO_WITHIN: Duration = Duration::from_millis(500);
@@ -298,10 +299,12 @@
         }
         let (head, body) = response.into_parts();
         let outcome = self.common.dialect.outcome(head.status, &head.headers);
-        let kept_tokens = match http_body_util::Limited::new(body, MOST_REPLY).collect().await {
-            Ok(body) => platform::kept_tokens(&body.to_bytes()),
-            Err(_) if outcome == Outcome::Read => return End::of(Outcome::Reset),
-            Err(_) => 0,
+        let body = http_body_util::Limited::new(body, MOST_REPLY).collect();
+        let kept_tokens = match tokio::time::timeout(FIRST_EVENT, body).await {
+            Ok(Ok(body)) => platform::kept_tokens(&body.to_bytes()),
+            Ok(Err(_)) if outcome == Outcome::Read => return End::of(Outcome::Reset),
+            Err(_) if outcome == Outcome::Read => return End::of(Outcome::Error),
+            Ok(Err(_)) | Err(_) => 0,
         };
         End { outcome, kept_tokens, load: load(&head.headers) }
     }
@@ -310,21 +313,23 @@
     async fn stream(&self, request: RequestId, number: u32, response: Response<Incoming>) -> End {
         let mut load = load(response.headers());
         let kind = response.headers().get(CONTENT_TYPE).cloned();
+        let bounded = platform::tells_its_end(response.headers());
         let mut body = response.into_body();
         let (parts, receiver) = mpsc::channel(PARTS_AHEAD);
         let mut receiver = Some(receiver);
         let mut tail = Tail::default();
+        // Comments ahead of the first event: they do not begin the stream.
+        let mut ahead = BytesMut::new();
         // A tool server is silent for as long as what it has raised takes.
         let watched = self.common.dialect == Dialect::Platform;
+        let mut due = Instant::now() + FIRST_EVENT;
         loop {
             // A client that has left closes the channel, and this call its connection.
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return End::of(Outcome::Cancelled),
                 frame = body.frame() => frame,
-                () = tokio::time::sleep(if receiver.is_some() { FIRST_EVENT } else { SILENT }), if watched => {
-                    return End::of(Outcome::Error);
-                }
+                () = tokio::time::sleep_until(due), if watched => return End::of(Outcome::Error),
             };
             let part = match frame {
                 Some(Ok(frame)) => match frame.into_data() {
@@ -336,14 +341,34 @@
                 None => break,
             };
             // Only whole events pass: a stream that is spoilt in its first one has not begun.
-            let part = match self.whole(&mut tail, part) {
-                Ok(part) if part.is_empty() => continue,
+            let known = tail.events;
+            let mut part = match self.whole(&mut tail, part) {
                 Ok(part) => part,
                 Err(Spoilt) => return End::of(Outcome::Error),
             };
+            let brings_event = !watched || tail.events > known;
+            // What comes all the time leaves the clock no turn.
+            if !brings_event && Instant::now() >= due {
+                return End::of(Outcome::Error);
+            }
+            if receiver.is_some() && watched {
+                ahead.extend_from_slice(&part);
+                if ahead.len() > MOST_REPLY && !brings_event {
+                    return End::of(Outcome::Error);
+                } else if !brings_event {
+                    continue;
+                }
+                part = ahead.split().freeze();
+            }
+            if part.is_empty() {
+                continue;
+            }
             if parts.send(Part::Data(part)).await.is_err() {
                 return End::of(Outcome::Cancelled);
             }
+            if brings_event {
+                due = Instant::now() + SILENT;
+            }
             if let Some(parts) = receiver.take() {
                 let body = Body { kind: kind.clone(), parts };
                 self.common.hub.send(Message::Head { request, attempt: number, body }).await;
@@ -352,6 +377,9 @@
         let Ok(rest) = tail.rest() else { return End::of(Outcome::Error) };
         if receiver.is_some() {
             return End::of(Outcome::Error);
+        } else if watched && !bounded {
+            // Only its connection has ended: the rest may be missing.
+            return End::of(Outcome::Reset);
         }
         if !rest.is_empty() && parts.send(Part::Data(rest)).await.is_err()
             || parts.send(Part::End).await.is_err()
@@ -377,7 +405,7 @@
     }
 
     async fn probe(&self) {
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
         let within = Duration::from_micros(self.common.links.connect);
         let (outcome, report) = match tokio::time::timeout(within, self.ask()).await {
             Ok(answer) => answer,
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -22,6 +22,18 @@
     seen.go_on();
 }
 
+/// Serves the next request with one event.
+async fn serve(reader: &mut Peer, writer: &mut Peer) {
+    read(reader).await;
+    let mut seen = writer.next().await;
+    seen.begin().await;
+    seen.chunk("data: [DONE]\n\n").await;
+    seen.end().await;
+    seen.go_on();
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Sends a text again and again, until the other side has hung up; how long that took.
 async fn for_ever(wire: &mut Wire, text: &str, pause: Duration) -> Duration {
     let began = Instant::now();
@@ -36,6 +48,61 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// Failure: bytes that go on for ever without an event keep a request until its time is over, or are its answer.
+#[test]
+fn an_answer_that_goes_on_without_an_event_is_a_failed_attempt() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let cases = [
+            ("HTTP/1.1 200 OK\r\n".to_string(), "X-More: y\r\n".to_string()),
+            (HEAD.to_string(), chunk(": wait\n\n")),
+            (format!("{HEAD}ffffff\r\ndata: "), "x".to_string()),
+            (HEAD.to_string(), chunk("data: x\n")),
+        ];
+        for (n, (start, more)) in cases.into_iter().enumerate() {
+            let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
+            read(&mut reader).await;
+            let mut seen = writer.next().await;
+            seen.wire.write(&start).await;
+            let hung_up = for_ever(&mut seen.wire, &more, Duration::from_millis(20));
+            let took = timeout(Duration::from_secs(3), hung_up).await.expect("its connection is closed");
+            assert!(took < Duration::from_secs(2), "{took:?} of {more}");
+            let head = client.until("\r\n\r\n").await.expect("an answer");
+            assert!(head.starts_with("HTTP/1.1 500"), "{head} after {more}");
+            assert_eq!((reader.unseen(), writer.unseen()), (0, 0));
+        }
+    });
+}
+
+/// Failure: a server that has stopped making events, but not writing, keeps its client for ever.
+#[test]
+fn a_stream_that_goes_on_without_events_is_broken_off() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let mut open = Vec::new();
+        for (n, more) in [chunk(": wait\n\n"), "x".to_string()].into_iter().enumerate() {
+            let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
+            read(&mut reader).await;
+            let mut seen = writer.next().await;
+            seen.begin().await;
+            seen.chunk("data: 1\n\n").await;
+            client.until("data: 1\n\n").await.expect("an event");
+            if n == 1 {
+                seen.wire.write("ffffff\r\ndata: ").await;
+            }
+            open.push((seen, client, more));
+        }
+        let (two, one) = (open.pop().expect("two"), open.pop().expect("one"));
+        let end = |(mut seen, mut client, more): (Seen, Wire, String)| async move {
+            for_ever(&mut seen.wire, &more, Duration::from_millis(100)).await;
+            assert!(!client.rest().await.contains("0\r\n\r\n"), "it is not called whole");
+        };
+        // Whoever waits is owed the end within 5 s of the last event.
+        let both = async { tokio::join!(end(one), end(two)) };
+        timeout(Duration::from_secs(5), both).await.expect("both are broken off");
+    });
+}
+
 /// Failure: a stream is cut while its server writes, or work goes on for a client that has left it.
 #[test]
 fn a_stream_goes_on_for_as_long_as_its_server_makes_events_and_its_client_stays() {
@@ -107,3 +174,211 @@
         client.rest().await;
     });
 }
+
+/// What ends the connection of an answer half way.
+async fn ends(mut seen: Seen, text: &str, reset: bool) {
+    seen.wire.write(text).await;
+    // What was written reaches the other side ahead of a reset only if that has read it.
+    sleep(Duration::from_millis(20)).await;
+    if reset {
+        seen.wire.reset();
+    }
+}
+
+/// Failure: half an answer is passed on as a whole one, or what has run once runs again.
+#[test]
+fn half_an_answer_is_one_that_may_have_run() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let unframed = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+        let halves = [
+            "HT".to_string(),
+            "HTTP/1.1 200 OK\r\nContent-Ty".to_string(),
+            HEAD.to_string(),
+            format!("{HEAD}e\r\ndata: "),
+            format!("{HEAD}e\r\ndata: [DO"),
+            format!("{HEAD}4\r\ndata"),
+            "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ndata: 1".to_string(),
+            "HTTP/1.1 503 No\r\nX-Unproc".to_string(),
+            format!("{unframed}data: 1\n"),
+        ];
+        for (n, half) in halves.iter().enumerate() {
+            for reset in [false, true] {
+                let mut client = conductor.ask(&format!("b{n}-{reset}"), "book", 9000).await;
+                read(&mut reader).await;
+                ends(writer.next().await, half, reset).await;
+                let head = client.until("\r\n\r\n").await.expect("an answer");
+                assert!(head.starts_with("HTTP/1.1 500"), "{head} after {half}");
+                assert_eq!((reader.unseen(), writer.unseen()), (0, 0));
+            }
+        }
+        // Once it has begun its client hears that it has broken off.
+        for (n, begun) in [HEAD, unframed].into_iter().enumerate() {
+            let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
+            read(&mut reader).await;
+            let mut seen = writer.next().await;
+            let event = if begun == HEAD { chunk("data: 1\n\n") } else { "data: 1\n\n".to_string() };
+            seen.wire.write(&format!("{begun}{event}")).await;
+            client.until("data: 1\n\n").await.expect("an event");
+            drop(seen);
+            assert!(!client.rest().await.contains("0\r\n\r\n"), "it is not called whole");
+            assert_eq!((reader.unseen(), writer.unseen()), (0, 0));
+        }
+    });
+}
+
+/// Failure: work whose connection is reset long after it has begun is taken for never sent, or not tried again.
+#[test]
+fn a_reset_long_after_the_send_ends_a_booking_and_has_a_question_asked_again() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let mut booking = conductor.ask("b1", "book", 9000).await;
+        read(&mut reader).await;
+        let booked = writer.next().await;
+        let mut question = conductor.ask("c1", "ask", 5000).await;
+        read(&mut reader).await;
+        let asked = writer.next().await;
+        sleep(Duration::from_millis(1_500)).await;
+        let broke = Instant::now();
+        booked.wire.reset();
+        let head = booking.until("\r\n\r\n").await.expect("an answer");
+        assert!(head.starts_with("HTTP/1.1 500"), "{head}");
+        assert!(broke.elapsed() < Duration::from_millis(300), "{:?}", broke.elapsed());
+        asked.wire.reset();
+        let mut again = tokio::select! {
+            seen = writer.next() => seen,
+            () = async { read(&mut reader).await; std::future::pending().await } => unreachable!(),
+        };
+        assert!(again.head.contains("c1"), "{}", again.head);
+        again.begin().await;
+        again.chunk("data: [DONE]\n\n").await;
+        again.end().await;
+        assert!(question.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+        assert_eq!(writer.unseen(), 0);
+    });
+}
+
+/// Failure: a request whose answer got lost keeps its client beyond its time, or runs twice.
+#[test]
+fn an_answer_that_is_lost_ends_a_request_at_its_time() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let began = Instant::now();
+        let mut booking = conductor.ask("b1", "book", 1_500).await;
+        read(&mut reader).await;
+        let _kept = writer.next().await;
+        let head = booking.until("\r\n\r\n").await.expect("an answer");
+        // Whether it is given up before its time or at it: nobody may call it harmless.
+        assert!(head.starts_with("HTTP/1.1 500") || head.starts_with("HTTP/1.1 504"), "{head}");
+        assert!(began.elapsed() < Duration::from_millis(1_700), "{:?}", began.elapsed());
+        assert_eq!((reader.unseen(), writer.unseen()), (0, 0));
+    });
+}
+
+/// Failure: an answer that contradicts itself is believed where it says that nothing ran.
+#[test]
+fn a_contradictory_answer_is_one_that_may_have_run() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let away = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+        let answers = [
+            format!("{HEAD}4\r\ndata{away}"),
+            format!("{HEAD}{away}"),
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 4\r\n\r\ndata: 1\n\n".to_string(),
+            "HTTP/1.1 200 OK\r\nContent-Length: -9\r\n\r\ndata: 1\n\n".to_string(),
+            "HTTP/1.1 099 Odd\r\n\r\n".to_string(),
+            "HTTP/1.1 20 Odd\r\n\r\n".to_string(),
+            "HTTP/1.1 twohundred\r\n\r\n".to_string(),
+            "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n".to_string(),
+            "HTTP/1.1 204 Odd\r\n\r\n".to_string(),
+            "HTTP/1.1 304 Odd\r\nX-Unprocessed: 1\r\n\r\n".to_string(),
+            "HTTP/1.1 101 Odd\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n".to_string(),
+            "HTTP/7.5 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n".to_string(),
+            "HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".to_string(),
+            "HTTP/1.1 500 No\r\nContent-Length: 99\r\n\r\nhalf a body, and no more".to_string(),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Unprocessed: 1\r\n\r\n0\r\n\r\n".to_string(),
+        ];
+        for (n, answer) in answers.iter().enumerate() {
+            let mut client = conductor.ask(&format!("b{n}"), "book", 9000).await;
+            read(&mut reader).await;
+            let mut seen = writer.next().await;
+            let began = Instant::now();
+            seen.wire.write_all_it_takes(answer).await;
+            let head = client.until("\r\n\r\n").await.expect("an answer");
+            assert!(head.starts_with("HTTP/1.1 500"), "{head} after {answer}");
+            assert!(began.elapsed() < Duration::from_secs(2), "{:?} after {answer}", began.elapsed());
+            assert_eq!((reader.unseen(), writer.unseen()), (0, 0), "{answer}");
+        }
+        // A body with both framings ends where its last chunk says; nothing behind that is anybody's.
+        let mut client = conductor.ask("c1", "ask", 4000).await;
+        read(&mut reader).await;
+        let mut seen = writer.next().await;
+        let both = HEAD.replace("\r\n\r\n", "\r\nContent-Length: 5\r\n\r\n");
+        seen.wire.write(&format!("{both}{}0\r\n\r\n", chunk("data: 1\n\n"))).await;
+        assert!(client.rest_of_answer().await.contains("data: 1\n\n"));
+        seen.go_on();
+        let mut next = conductor.ask("c2", "ask", 4000).await;
+        serve(&mut reader, &mut writer).await;
+        assert!(next.rest_of_answer().await.contains("data: [DONE]"));
+    });
+}
+
+/// Failure: a reader's answer whose body never ends keeps a request until its time is over.
+#[test]
+fn a_read_whose_answer_never_ends_is_tried_again() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let mut client = conductor.ask("c1", "ask", 5000).await;
+        let mut seen = reader.next().await;
+        seen.wire.write("HTTP/1.1 202 Accepted\r\nContent-Length: 999\r\n\r\n{\"cached_").await;
+        let hung_up = for_ever(&mut seen.wire, " ", Duration::from_millis(20));
+        let took = timeout(Duration::from_secs(3), hung_up).await.expect("its connection is closed");
+        assert!(took < Duration::from_secs(2), "{took:?}");
+        serve(&mut reader, &mut writer).await;
+        assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+    });
+}
+
+/// Failure: a booking that was turned away is given up since the body beside the proof never ends.
+#[test]
+fn a_head_that_turns_a_request_away_counts_though_its_body_never_ends() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let mut client = conductor.ask("b1", "book", 9000).await;
+        read(&mut reader).await;
+        let mut seen = writer.next().await;
+        seen.wire.write("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 99\r\n\r\nhalf a body").await;
+        // Its state still waits: the writer gets it again.
+        let mut again = writer.next().await;
+        again.begin().await;
+        again.chunk("data: [DONE]\n\n").await;
+        again.end().await;
+        assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+    });
+}
+
+/// Failure: figures that are doubled or nonsense bring the program down, or spoil the answer that they come with.
+#[test]
+fn what_an_answer_tells_of_itself_may_be_nonsense() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let usage = |kept: &str| {
+            format!("data: {{\"usage\":{{\"prompt_tokens_details\":{{\"cached_tokens\":{kept}}}}}}}\n\n")
+        };
+        let kept = ["0", "-1", "1e300", "18446744073709551615", "\"many\"", "null", "[[[[", "{}"];
+        for (n, kept) in kept.into_iter().enumerate() {
+            let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
+            let mut seen = reader.next().await;
+            let load = "X-Backend-Load: TEXT x0=1e308, depth=-3, depth=1e999, x0=x0=, =,,,\r\n";
+            seen.answer("202 Accepted", load, &format!("{{\"cached_tokens\":{kept}}}")).await;
+            seen.go_on();
+            let mut seen = writer.next().await;
+            seen.begin().await;
+            let events = format!("data: 1\n\n{}{}data: [DONE]\n\n", usage(kept), usage("800"));
+            seen.chunk(&format!("{events}: X-Backend-Load: \n\n: X-Backend-Load: TEXT x0=9e99\n\n")).await;
+            seen.end().await;
+            seen.go_on();
+            assert!(client.rest_of_answer().await.contains(&events), "unchanged, with {kept}");
+        }
+    });
+}
