Hold slow dials to their time: permits, deadlines, held states, late connections

A listener whose queue is full makes them on loopback. The program already does right, so the stories stand alone: a dial gives its permit back when its caller or its time has gone, a booking goes to the next writer, a state is let go of within 300 ms and the platform's 300 ms more though no writer comes up, deadlines run on, and a connection that comes up late carries no request that was given up.

--- /dev/null
+++ b/tests/dials.rs
@@ -0,0 +1,176 @@
+//! Stories of connections that do not come up: the time of a request runs on meanwhile, nothing was sent on them, and
+//! what was held for them is free again.
+
+mod peers;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use milletseam::protocol::settings::Links;
+use milletseam::transport::peer::connector::{Tracked, client};
+use peers::*;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A listener whose queue is full: the system drops whatever else would connect, which tries again after a second.
+struct Full {
+    address: String,
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl Full {
+    async fn start() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(0).expect("a listener");
+        let address = listener.local_addr().expect("an address").to_string();
+        let mut queued = Vec::new();
+        while let Ok(stream) = timeout(Duration::from_millis(100), TcpStream::connect(&address)).await {
+            queued.push(stream.expect("a connection"));
+        }
+        Full { address, listener, queued }
+    }
+
+    /// Makes room: who tries again now comes up.
+    async fn open(self) -> TcpListener {
+        for _ in &self.queued {
+            self.listener.accept().await.expect("a queued connection");
+        }
+        self.listener
+    }
+}
+
+const LINKS: Links = Links { idle: 15_000_000, connect: 250_000 };
+
+/// Failure: a dial that is given up, by its caller or by its time, keeps a descriptor for as long as the system tries.
+#[test]
+fn a_dial_holds_its_permit_for_no_longer_than_its_time() {
+    story(async {
+        let full = Full::start().await;
+        let permits = Arc::new(Semaphore::new(2));
+        let peers = client(LINKS, permits.clone());
+        let call = || {
+            let mut request = Request::new(Tracked::empty());
+            *request.uri_mut() = format!("http://{}/alive", full.address).parse().expect("an address");
+            peers.request(request)
+        };
+        let began = Instant::now();
+        let given_up = timeout(Duration::from_millis(50), call()).await;
+        assert!(given_up.is_err(), "it is out");
+        tokio::task::yield_now().await;
+        assert_eq!(permits.available_permits(), 2, "its caller has gone");
+        let error = call().await.expect_err("it never comes up");
+        assert!(error.is_connect(), "{error}");
+        assert_eq!(permits.available_permits(), 2, "its time is over");
+        let took = began.elapsed();
+        assert!(took > Duration::from_millis(290) && took < Duration::from_millis(900), "{took:?}");
+    });
+}
+
+/// Failure: a booking is taken for run at a server that it never reached, or waits there beyond what is held.
+#[test]
+fn a_booking_whose_connection_does_not_come_up_goes_to_another_writer() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let full = Full::start().await;
+        let servers = [
+            member("s-r", &reader.address, "reader"),
+            member("s-full", &full.address, "writer"),
+            member("s-w", &writer.address, "writer"),
+        ];
+        let conductor = Conductor::start(&servers, "").await;
+        // Chance picks the first writer: in some of these the full one comes first.
+        for n in 0..8 {
+            let mut client = conductor.ask(&format!("b{n}"), "book", 9000).await;
+            reader.next().await.answer("202 Accepted", "", "{}").await;
+            let read = Instant::now();
+            let mut seen = writer.next().await;
+            assert!(read.elapsed() < Duration::from_millis(300), "{:?}", read.elapsed());
+            seen.begin().await;
+            seen.chunk("data: [DONE]\n\n").await;
+            seen.end().await;
+            assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+        }
+        assert_eq!(writer.unseen() + reader.unseen(), 0);
+    });
+}
+
+/// Failure: a state stays pinned while connections to writers are waited for.
+#[test]
+fn what_is_held_is_let_go_of_though_no_writers_connection_comes_up() {
+    story(async {
+        let mut reader = Peer::start().await;
+        let full = [Full::start().await, Full::start().await, Full::start().await];
+        let mut servers = vec![member("s-r", &reader.address, "reader")];
+        servers.extend(full.iter().map(|one| member(&format!("s-{}", one.address), &one.address, "writer")));
+        let conductor = Conductor::start(&servers, "").await;
+        let mut client = conductor.ask("b1", "book", 1_000).await;
+        let began = Instant::now();
+        let mut seen = reader.next().await;
+        seen.answer("202 Accepted", "", "{}").await;
+        let read = Instant::now();
+        seen.go_on();
+        assert!(reader.next_let_go().await.starts_with("DELETE /kv/leases/b1 "));
+        // 300 ms by the settings, and 300 ms more by the platform's protocol.
+        assert!(read.elapsed() < Duration::from_millis(600), "{:?}", read.elapsed());
+        let again = async {
+            loop {
+                let mut seen = reader.next().await;
+                seen.answer("202 Accepted", "", "{}").await;
+                seen.go_on();
+            }
+        };
+        let head = tokio::select! {
+            head = client.until("\r\n\r\n") => head.expect("an answer"),
+            () = again => unreachable!(),
+        };
+        // It has reached nobody: to come again is harmless.
+        assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+        assert!(began.elapsed() < Duration::from_millis(1_100), "{:?}", began.elapsed());
+    });
+}
+
+/// Failure: a deadline waits for a connection.
+#[test]
+fn a_deadline_runs_on_while_connections_come_up() {
+    story(async {
+        let full = Full::start().await;
+        let servers = [member("s-r", &full.address, "reader"), member("s-w", "127.0.0.1:1", "writer")];
+        let conductor = Conductor::start(&servers, "").await;
+        for (class, time_left) in [("ask", 100), ("book", 100), ("ask", 600), ("book", 600)] {
+            let began = Instant::now();
+            let mut client = conductor.ask(&format!("{class}{time_left}"), class, time_left).await;
+            let head = client.until("\r\n\r\n").await.expect("an answer");
+            // At its deadline the attempt at the reader is still out: for a booking that is no proof yet.
+            assert!(head.starts_with("HTTP/1.1 503") || class == "book" && head.contains("504"), "{head}");
+            let most = Duration::from_millis(u64::from(time_left) + 100);
+            assert!(began.elapsed() < most, "{:?}", began.elapsed());
+        }
+    });
+}
+
+/// Failure: a connection that comes up late carries a request that was given up long ago.
+#[test]
+fn a_connection_that_comes_up_late_carries_nothing_that_was_given_up() {
+    story(async {
+        let full = Full::start().await;
+        let servers = [member("s-r", &full.address, "reader"), member("s-w", "127.0.0.1:1", "writer")];
+        let conductor = Conductor::start(&servers, "").await;
+        let client = conductor.ask("c1", "ask", 5000).await;
+        sleep(Duration::from_millis(50)).await;
+        drop(client);
+        sleep(Duration::from_millis(50)).await;
+        let listener = full.open().await;
+        // The system would try again after a second.
+        let late = timeout(Duration::from_millis(1_500), listener.accept()).await;
+        if let Ok(accepted) = late {
+            let (stream, _) = accepted.expect("a connection");
+            let said = Wire::of(stream).rest().await;
+            // A call that lets go may come on it.
+            assert!(!said.contains("POST "), "{said}");
+        }
+    });
+}
