Let go of a called-off read by the settings' time, counted from the latest one

Seen in the new property: a read that was called off may have left a state, which is let go of once more 100 ms later (RELEASE_AGAIN). With release_within of 100 ms and less that is too late. And Open::again was a flag: where one read had broken and the next one was called off just before the timer of the first, the second call went out at once with the cancel and none after its connection had closed, so that its state stayed pinned; this needs no short settings.

Now the time is at most half of held_for (unchanged at 300 ms), and a later end moves it on; one that no server has heard of does not.

short_times_and_other_effects_break_no_rule: deadlines of 150 to 500 ms, windows of 50 to 400 ms, release_within of 70 to 300 ms, aim 50 ms, classes of any effect, servers by a drawn script in virtual time, one of them deaf.

--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -11,9 +11,14 @@
 use crate::recovery::LetGo;
 
 /// A read that did not end cleanly may still have left a state: it is let go once more after this, when the
-/// server has surely seen its connection close.
+/// server has surely seen its connection close (a guess)...
 const RELEASE_AGAIN: Micros = 100_000;
 
+/// ... or sooner, where that would leave too little of the time in which what is held has to be let go of.
+fn release_again(rules: &Rules) -> Micros {
+    RELEASE_AGAIN.min(rules.held_for() / 2)
+}
+
 /// One router and the servers it chooses among: those of the platform, or the tool servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PoolId(pub u8);
@@ -130,15 +135,15 @@
     tries: Tries,
     owner: Option<u32>,
     over: bool,
-    /// What a read may have left is let go of once more later.
-    again: bool,
+    /// When what a read may have left is let go of once more.
+    again: Option<Micros>,
     letting_go: Option<LetGo>,
 }
 
 impl Open {
     /// No attempt is out, and what was held is let go of.
     fn idle(&self) -> bool {
-        !self.tries.any_out() && !self.again && self.letting_go.is_none()
+        !self.tries.any_out() && self.again.is_none() && self.letting_go.is_none()
     }
 }
 
@@ -236,7 +241,11 @@
                 }
                 Due::Again(id) => {
                     let Some(open) = self.open.get_mut(&id) else { continue };
-                    open.again = false;
+                    // A read that ended since then has moved the time on.
+                    if open.again.is_none_or(|at| at > now) {
+                        continue;
+                    }
+                    open.again = None;
                     // A state that was read since then is waited for, or about to be.
                     if open.over || open.tries.lies_bare() {
                         self.let_go(now, id, out);
@@ -305,7 +314,7 @@
         let (id, class, expires) = (request.id, request.class, request.expires);
         let tries = Tries::default();
         let open =
-            Open { pool, class, expires, tries, owner: None, over: false, again: false, letting_go: None };
+            Open { pool, class, expires, tries, owner: None, over: false, again: None, letting_go: None };
         self.open.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), out);
@@ -371,10 +380,13 @@
         let ended = Ended { request: id, attempt, server, outcome, kept_tokens, settled, took, report };
         self.drive(now, pool, Event::Ended(ended), out);
         // The router may find no reader for a while: what the last one may have left must not stay pinned.
+        let after = self.pools.get(usize::from(pool.0)).map_or(0, |pool| release_again(&pool.settings.rules));
+        let unheard = matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
         if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over && open.tries.lies_bare())
-            && !std::mem::replace(&mut open.again, true)
+            && !(unheard && open.again.is_some())
         {
-            self.wake(now + RELEASE_AGAIN, Due::Again(id));
+            open.again = Some(now + after);
+            self.wake(now + after, Due::Again(id));
         }
     }
 
@@ -529,8 +541,11 @@
     fn release(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         // A read may have ended well just as its connection was closed: its state must not stay pinned.
-        if open.over && open.tries.any_unclean() && !std::mem::replace(&mut open.again, true) {
-            self.wake(now + RELEASE_AGAIN, Due::Again(id));
+        let pool = self.pools.get(usize::from(open.pool.0));
+        let after = pool.map_or(0, |pool| release_again(&pool.settings.rules));
+        if open.over && open.tries.any_unclean() {
+            open.again = Some(now + after);
+            self.wake(now + after, Due::Again(id));
         }
         self.let_go(now, id, out);
     }
