--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -27,7 +27,7 @@
 use crate::recovery::{Call, Phase};
 use crate::transport::hub::message::Hub;
 
-/// Callers that may be connected at once; they are counted against the budget's reserve.
+/// Callers that may be connected at once, beside one that is just being taken; they are counted against the budget's reserve.
 pub const MOST_CALLERS: usize = 16;
 /// A call is whole, and its answer taken, within this.
 const CALL_WITHIN: Duration = Duration::from_secs(5);
@@ -117,6 +117,8 @@
                         if callers.len() >= MOST_CALLERS && let Some(longest) = callers.pop_front() {
                             longest.abort();
                         }
+                        // Its descriptor is free only once its task has ended, and many may come in one turn.
+                        while calls.len() >= MOST_CALLERS && calls.join_next().await.is_some() {}
                         callers.push_back(calls.spawn(call(stream, routes.clone())));
                     }
                     // A caller that is gone already, or descriptors that ran out all the same.
