--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -2,6 +2,7 @@
 //! an answer ends with.
 
 use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use serde::Deserialize;
 use thiserror::Error;
@@ -105,6 +106,11 @@
     }
 }
 
+/// Whether an answer's body tells its own end: where only its connection's end does, a part looks like the whole.
+pub fn tells_its_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 #[derive(Deserialize)]
 struct ReadReply {
     #[serde(default)]
@@ -153,6 +159,8 @@
 pub struct Tail {
     /// The event that has not ended yet.
     held: BytesMut,
+    /// Data lines so far: comments are no events.
+    pub events: u64,
     /// Prompt tokens found kept.
     pub kept_tokens: u64,
     /// The load report's text.
@@ -206,8 +214,10 @@
         const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
         let line = std::str::from_utf8(line).map_err(|_| Spoilt)?;
         let Some((name, value)) = line.split_once(':') else {
+            self.events += u64::from(line == "data");
             return if line.is_empty() || FIELDS.contains(&line) { Ok(()) } else { Err(Spoilt) };
         };
+        self.events += u64::from(name == "data");
         if name.is_empty() {
             self.load = value
                 .split_once(':')
@@ -290,60 +300,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn reports_are_read_by_the_fields_of_the_settings() {
-        let fields = [ReportField::Unused, ReportField::MemoryShare];
-        let read = report("TEXT util=0.61, queue=2, x0=0.25, x1=9", &fields).expect("a report");
-        assert_eq!(read, Report { memory_share: Some(0.25), ..Report::default() });
-        let queued = Report { waiting: Some(2.0), ..Report::default() };
-        assert_eq!(report("TEXT util=0.61, queue=2", &[ReportField::Waiting]), Some(queued));
-        assert_eq!(report("TEXT load_share=0.61, depth=2", &[ReportField::Waiting]), Some(queued));
-        assert_eq!(report("TEXT x0=nan", &fields), None);
-        assert_eq!(report("", &fields), None);
-    }
-
-    #[test]
-    fn the_tail_of_a_stream_tells_kept_tokens_and_load_across_parts() {
-        let mut tail = Tail::default();
-        let text = concat!(
-            "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n",
-            "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n",
-            "data: [DONE]\n\n: X-Backend-Load: TEXT x0=0.5\n\n",
-        );
-        let mut passed = Vec::new();
-        for part in text.as_bytes().chunks(7) {
-            let whole = tail.feed(Bytes::copy_from_slice(part)).expect("events");
-            assert!(whole.is_empty() || whole.ends_with(b"\n\n"), "{whole:?}");
-            passed.extend_from_slice(&whole);
-        }
-        assert_eq!((passed.as_slice(), tail.rest()), (text.as_bytes(), Ok(Bytes::new())));
-        assert_eq!((tail.kept_tokens, tail.load.as_deref()), (4096, Some("TEXT x0=0.5")));
-    }
-
-    #[test]
-    fn what_is_no_event_spoils_a_stream() {
-        let feed = |text: &str| Tail::default().feed(Bytes::from(text.to_string()));
-        assert_eq!(feed("data: 1\n\n2a\r\ndata: 2\n\n"), Err(Spoilt));
-        assert_eq!(
-            feed("data: 1\n\n: X-Backend-Load: TEXT what=?\n\nda"),
-            Ok("data: 1\n\n: X-Backend-Load: TEXT what=?\n\n".into())
-        );
-        let mut tail = Tail::default();
-        let endless = std::iter::repeat_with(|| tail.feed("data: xxxxxxxx".repeat(1024).into())).take(40);
-        assert_eq!(endless.last(), Some(Err(Spoilt)));
-    }
-
-    #[test]
-    fn only_an_unprocessed_mark_proves_that_a_request_was_turned_away() {
-        let marked =
-            HeaderMap::from_iter([(UNPROCESSED.parse().expect("a name"), http::HeaderValue::from(1))]);
-        let plain = HeaderMap::new();
-        let read = |status: u16, headers| outcome(StatusCode::from_u16(status).expect("a status"), headers);
-        assert_eq!((read(503, &marked), read(503, &plain)), (Outcome::Full, Outcome::Error));
-        assert_eq!((read(410, &marked), read(410, &plain)), (Outcome::NoState, Outcome::Error));
-        assert_eq!((read(202, &plain), read(500, &marked)), (Outcome::Read, Outcome::Error));
-    }
-}
+mod tests;
