--- a/src/choice.rs
+++ b/src/choice.rs
@@ -800,7 +800,7 @@
         self.hear(now, from, alive, ended.report);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(ended.attempt as usize).filter(|a| !a.ended) else { return };
-        (a.ended, open.asked, open.lot, open.draw) = (true, false, self.rng.random(), None);
+        (a.ended, open.asked, open.lot, open.draw) = (true, false, open.lot.wrapping_add(1), None);
         a.may_have_run &= !ended.outcome.never_ran();
         self.slow_starts[0].bear(now, f64::from(ended.outcome == Outcome::Read));
         let begun = open.started;
