Write what came of an answer before its break ends the connection

In the logs of the node the writer's connection was reset 0.15 ms after the first event: 'answer stream' and 'ended Reset' in the same millisecond. Ruled out: a client taken for gone (no such end), other attempts (one answer). At fault: Events::poll_frame in transport/front/platform.rs, which gave the event and the error in one poll; with the error hyper drops what it has not written, so that the connection ended with no answer at all. Change: the error comes one turn later, when what came is written. Test: what_came_before_an_answer_broke_off_reaches_its_client.

--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -86,7 +86,8 @@
     match front.hub.submit(admission, payload).await {
         (Reply::Stream(body), ticket) => {
             let kind = body.kind.clone().unwrap_or(HeaderValue::from_static("text/event-stream"));
-            ([(CONTENT_TYPE, kind)], axum::body::Body::new(Events { body, _ticket: ticket })).into_response()
+            ([(CONTENT_TYPE, kind)], axum::body::Body::new(Events { body, broken: false, _ticket: ticket }))
+                .into_response()
         }
         (Reply::Refused(retry_after), _) => {
             let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
@@ -110,6 +111,8 @@
 /// A server's events on their way to the client; dropping it tells that the client has left.
 struct Events {
     body: Body,
+    /// The answer has broken off, and what came of it is being written.
+    broken: bool,
     _ticket: Ticket,
 }
 
@@ -117,7 +120,8 @@
     type Data = Bytes;
     type Error = Broken;
 
-    /// An answer that broke off is an error here, so that the connection ends without the last chunk.
+    /// An answer that broke off is an error here, so that the connection ends without the last chunk. It comes one turn
+    /// later: with an error hyper drops what it has not written yet, and an answer of which nothing came is lost.
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -125,7 +129,12 @@
         Poll::Ready(match ready!(self.body.parts.poll_recv(cx)) {
             Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
             Some(Part::End) => None,
-            None => Some(Err(Broken)),
+            None if self.broken => Some(Err(Broken)),
+            None => {
+                self.broken = true;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
         })
     }
 }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -290,6 +290,23 @@
     });
 }
 
+/// Failure: an answer that breaks off right behind its first event ends its client's connection before anything of it is
+/// written, so that the request is lost.
+#[test]
+fn what_came_before_an_answer_broke_off_reaches_its_client() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        for n in 0..20 {
+            let mut client = conductor.ask(&format!("d{n}"), "ask", 4000).await;
+            read(&mut reader).await;
+            ends(writer.next().await, &format!("{HEAD}{}", chunk("data: 1\n\n")), false).await;
+            let answer = client.rest().await;
+            assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("data: 1\n\n"), "{n}: {answer}");
+            assert!(!answer.contains("0\r\n\r\n"), "it is not called whole");
+        }
+    });
+}
+
 /// Failure: work whose connection is reset long after it has begun is taken for never sent, or not tried again.
 #[test]
 fn a_reset_long_after_the_send_ends_a_booking_and_has_a_question_asked_again() {
