Shut, drain and only then close, whatever ends a connection

Cause: door::tend returned with the socket (a head whose time was over, rest over, want of room, the end of the process) or left it to hyper, whose shutdown passed over what came only behind an answer with the state's own 'last' (not behind a refused body or head). Bytes that came then reset the connection, and what the client had not read of its answer was lost. The operators' front closed over the rest of a refused call. Change: door::linger behind every connection of both kinds: the write side is shut, what comes is read and passed over, 200 ms and 512 KiB at most, then the descriptor is closed and its place freed. Nothing read from then on is a request. 512 KiB is twice a body that is refused for its length (it was 64 KiB, less than such a body). Stories in tests/races.rs: refusals amid a body, clients that trickle until their time is over, requests that cross an eviction, clients that rest until the process ends, crowds that ask and go (in one process, and as a program with 64 descriptors).

--- a/src/transport/front/door.rs
+++ b/src/transport/front/door.rs
@@ -31,14 +31,18 @@
 
 use super::line::{Line, Lines, Place};
 use crate::protocol::framing::{Framing, framing};
+use crate::protocol::platform::MOST_BODY;
 use crate::recovery::{Phase, Socket};
 
 /// Bytes read at once while a head is awaited.
 const READ: usize = 2048;
 /// What no parser takes for a head: hyper answers it with 400 and closes.
 const NO_HEAD: &[u8] = b"-\r\n\r\n";
-/// So much of what comes behind the last answer is passed over.
-const PASSED_OVER: usize = 64 * 1024;
+/// Bytes that are passed over behind the last answer: twice a body that is refused for its length.
+const PASSED_OVER: usize = 2 * MOST_BODY;
+/// The client's end is waited for so long: what it still sends would otherwise have the connection reset, and with it
+/// what it has not read yet of the answer.
+const LINGER: Duration = Duration::from_millis(200);
 
 /// A listener that takes no more connections than the budget has room for; others wait in the kernel's queue.
 pub struct Listener {
@@ -67,7 +71,7 @@
         self.listener.local_addr()
     }
 
-    async fn accept(&self) -> Gate {
+    async fn accept(&self) -> (Gate, Place) {
         let permit = self.lines.room().await;
         loop {
             match self.listener.accept().await {
@@ -75,14 +79,14 @@
                     // Without it events would wait for the client's acknowledgements; the rest still works.
                     let _ = stream.set_nodelay(true);
                     let place = self.lines.enter(permit);
-                    return Gate {
+                    let gate = Gate {
                         stream: Arc::new(stream),
-                        place,
+                        line: place.line.clone(),
                         held: BytesMut::new(),
                         pass: 0,
                         reading: Reading::Head,
-                        passed_over: 0,
                     };
+                    return (gate, place);
                 }
                 // A connection that is gone already, or descriptors that ran out all the same.
                 Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
@@ -101,7 +105,7 @@
             tokio::select! {
                 biased;
                 _ = phases.wait_for(|phase| !phase.takes(socket)) => break,
-                gate = self.accept() => drop(open.spawn(tend(gate, routes.clone()))),
+                (gate, place) = self.accept() => drop(open.spawn(tend(gate, place, routes.clone()))),
                 Some(_) = open.join_next() => {}
             }
         }
@@ -110,9 +114,40 @@
     }
 }
 
+/// Keeps one connection from its start to its close; its place is free only then.
+async fn tend(gate: Gate, place: Place, routes: Router) {
+    let stream = gate.stream.clone();
+    // Whatever waits for an answer here is dropped before the client's end is waited for.
+    serve(gate, routes).await;
+    linger(&stream).await;
+    drop((stream, place));
+}
+
+/// Ends a connection: its write side is shut, and what still comes is passed over until the client ends it as well.
+/// Nothing that is read from then on is a request.
+pub(super) async fn linger(stream: &TcpStream) {
+    // The client has ended it all already, or the system has.
+    if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let pass_over = async {
+        let mut passed_over = 0;
+        while passed_over < PASSED_OVER && stream.readable().await.is_ok() {
+            let mut space = [0; 8 * READ];
+            match stream.try_read(&mut space) {
+                Ok(0) => return,
+                Ok(more) => passed_over += more,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER, pass_over).await;
+}
+
 /// Serves one connection until it ends, is idle or late for too long, or has to go.
-async fn tend(gate: Gate, routes: Router) {
-    let line = gate.place.line.clone();
+async fn serve(gate: Gate, routes: Router) {
+    let line = gate.line.clone();
     let stream = gate.stream.clone();
     let mut hung_up = pin!(hung_up(stream.clone()));
     let mut gone = false;
@@ -260,13 +295,11 @@
 struct Gate {
     /// Shared with whoever waits for the client's end.
     stream: Arc<TcpStream>,
-    place: Place,
+    line: Arc<Line>,
     held: BytesMut,
     /// So much of what is held may pass.
     pass: usize,
     reading: Reading,
-    /// So much has been passed over behind the last answer.
-    passed_over: usize,
 }
 
 impl Gate {
@@ -297,7 +330,7 @@
         self.held.advance(most);
         self.pass -= most;
         if most > 0 && self.pass == 0 && matches!(self.reading, Reading::Head) {
-            self.place.line.ahead(!self.held.is_empty());
+            self.line.ahead(!self.held.is_empty());
         }
         most > 0
     }
@@ -320,7 +353,7 @@
             match gate.reading {
                 Reading::Head => {
                     if !gate.held.is_empty() {
-                        gate.place.line.arriving();
+                        gate.line.arriving();
                         gate.look();
                         if gate.pass > 0 {
                             continue;
@@ -328,7 +361,7 @@
                     }
                     let mut space = [0; READ];
                     let mut part = ReadBuf::new(&mut space);
-                    if gate.held.is_empty() && gate.place.line.evicted() {
+                    if gate.held.is_empty() && gate.line.evicted() {
                         // Past what the runtime has heard of: it may have come since. Anything else is the end.
                         let came =
                             (&*SockRef::from(&*gate.stream)).read(part.initialize_unfilled()).unwrap_or(0);
@@ -389,26 +422,15 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.place.line.flushed();
+        self.line.flushed();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let gate = &mut *self;
-        match SockRef::from(&*gate.stream).shutdown(Shutdown::Write) {
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match SockRef::from(&*self.stream).shutdown(Shutdown::Write) {
             // The client has ended it all already.
-            Err(error) if error.kind() != io::ErrorKind::NotConnected => return Poll::Ready(Err(error)),
-            _ => {}
+            Err(error) if error.kind() != io::ErrorKind::NotConnected => Poll::Ready(Err(error)),
+            _ => Poll::Ready(Ok(())),
         }
-        while gate.place.line.is_over() && gate.passed_over < PASSED_OVER {
-            let mut space = [0; READ];
-            let mut part = ReadBuf::new(&mut space);
-            ready!(read(&gate.stream, cx, &mut part))?;
-            match part.filled().len() {
-                0 => break,
-                more => gate.passed_over += more,
-            }
-        }
-        Poll::Ready(Ok(()))
     }
 }
--- a/src/transport/front/line.rs
+++ b/src/transport/front/line.rs
@@ -20,9 +20,6 @@
 const WHOLE_WITHIN: Duration = Duration::from_millis(2_500);
 /// One that has been silent for less is not closed for want of room: its request may be on the way.
 const LEAST_REST: Duration = Duration::from_millis(50);
-/// After the last answer the client's end is waited for so long: what it has sent meanwhile would otherwise have the
-/// connection reset, and with it what it has not read yet of the answer.
-const LINGER: Duration = Duration::from_millis(200);
 /// When no connection can make room, this is waited for one to end.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -36,7 +33,7 @@
     Open,
     /// Its answer is made, but not all of it is written.
     Answered,
-    /// The last answer is written: only its client's own end is waited for.
+    /// The last answer is written: the connection ends.
     Over,
 }
 
@@ -120,11 +117,6 @@
         state.stage == Stage::Quiet
     }
 
-    /// Whether its last answer is written, and what its client still sends is to be passed over.
-    pub fn is_over(&self) -> bool {
-        self.state().stage == Stage::Over
-    }
-
     /// Whether it has a request open, or an answer that is not yet written out.
     pub fn is_busy(&self) -> bool {
         matches!(self.state().stage, Stage::Open | Stage::Answered)
@@ -171,8 +163,7 @@
             Stage::Quiet if state.evicted => Some(state.since),
             Stage::Quiet => Some(state.since + if state.fresh { MUTE } else { RESTING }),
             Stage::Head => Some(state.due),
-            Stage::Over => Some(state.since + LINGER),
-            Stage::Open | Stage::Answered => None,
+            Stage::Open | Stage::Answered | Stage::Over => None,
         }
     }
 }
--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tower::Service;
 
+use super::door::linger;
 use super::line::Lines;
 use crate::protocol::figures;
 use crate::recovery::{Call, Phase};
@@ -131,12 +133,14 @@
 }
 
 async fn call(stream: TcpStream, routes: Router) {
-    let service = service_fn(|request| answer(request, routes.clone()));
+    let service = service_fn(|request| Box::pin(answer(request, routes.clone())));
     let mut connection = http1::Builder::new();
     connection.keep_alive(false).max_buf_size(MOST_HEAD).timer(TokioTimer::new());
-    let connection = connection.serve_connection(TokioIo::new(stream), service);
+    let mut connection = connection.serve_connection(TokioIo::new(stream), service);
     // Whoever sends no whole call, or does not take its answer, is owed nothing.
-    let _ = tokio::time::timeout(CALL_WITHIN, connection).await;
+    let served = poll_fn(|cx| connection.poll_without_shutdown(cx));
+    let _ = tokio::time::timeout(CALL_WITHIN, served).await;
+    linger(&connection.into_parts().io.into_inner()).await;
 }
 
 /// Answers a call once it is whole.
--- /dev/null
+++ b/tests/races.rs
@@ -0,0 +1,320 @@
+//! Stories of bytes that arrive in the very moment in which a connection is closed, and of crowds that ask and go.
+
+mod peers;
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use peers::*;
+use serde_json::{Value, json};
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// A client's name in its request.
+fn id_of(head: &str) -> String {
+    header(head, "x-correlation-id").expect("an id")
+}
+
+/// A reader and a writer that serve whatever comes; their list, and the names that the reader has seen.
+fn servers(mut reader: Peer, mut writer: Peer) -> ([Value; 2], Arc<std::sync::Mutex<Vec<String>>>) {
+    let list = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+    let seen = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let sees = seen.clone();
+    tokio::spawn(async move {
+        loop {
+            let mut request = reader.next().await;
+            sees.lock().expect("no panic").push(id_of(&request.head));
+            request.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
+            request.go_on();
+        }
+    });
+    tokio::spawn(async move {
+        loop {
+            let mut request = writer.next().await;
+            request.wire.write_all_it_takes(WHOLE).await;
+            request.go_on();
+        }
+    });
+    (list, seen)
+}
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+                     e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+
+/// A conductor before them with so many descriptors.
+async fn conductor(servers: &[Value], sockets: usize) -> Conductor {
+    let mut discovery = Peer::start().await;
+    let mut config = config(&discovery.address, servers);
+    config["admin"] = json!("127.0.0.1:0");
+    config["limits"]["sockets"] = json!(sockets);
+    let whole = list(1, true, servers).to_string();
+    tokio::spawn(async move {
+        discovery.next().await.answer("200 OK", "", &whole).await;
+        let _silent = discovery.next().await;
+        std::future::pending::<()>().await;
+    });
+    Conductor::start_with(config, "").await
+}
+
+/// The same as a process of its own, at these addresses.
+async fn process(servers: &[Value], sockets: usize, front: &str, admin: &str, folder: &Folder) -> Child {
+    let mut discovery = Peer::start().await;
+    let mut config = config(&discovery.address, servers);
+    (config["listen"], config["admin"]) = (json!(front), json!(admin));
+    config["limits"]["sockets"] = json!(sockets);
+    let whole = list(1, true, servers).to_string();
+    tokio::spawn(async move {
+        discovery.next().await.answer("200 OK", "", &whole).await;
+        let _silent = discovery.next().await;
+        std::future::pending::<()>().await;
+    });
+    let child = Command::new(env!("CARGO_BIN_EXE_birchspur"))
+        .env("LB_CONFIG", folder.write("config.json", &config.to_string()))
+        .kill_on_drop(true)
+        .spawn()
+        .expect("it starts");
+    loop {
+        if let Ok(stream) = tokio::net::TcpStream::connect(front).await {
+            let mut wire = Wire::of(stream);
+            wire.write(UP).await;
+            if wire.until("\r\n").await.is_some_and(|line| line.contains("200")) {
+                return child;
+            }
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// A figure that operators read.
+async fn figure(admin: &str, name: &str) -> u64 {
+    let mut wire = Wire::connect(admin).await;
+    wire.write("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    let text = wire.rest().await;
+    let (_, figure) = text.split_once(&format!("app.{name}:")).unwrap_or_else(|| panic!("{name} in {text}"));
+    figure.split('|').next().expect("a figure").parse().expect("a number")
+}
+
+/// Failure: a request that is refused before all of it is read has its connection reset, and the answer with it.
+#[test]
+fn whoever_is_refused_before_all_is_read_reads_its_whole_answer() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let conductor = conductor(&list, 256).await;
+        let long = platform_request("long", "ask", 4000, &"x".repeat(256 * 1024 + 1));
+        let chunked = platform_request("chunked", "ask", 4000, "")
+            .replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        let chunked = format!("{chunked}50000\r\n{}\r\n0\r\n\r\n", "x".repeat(0x50000));
+        let bad = format!("no HTTP at all\r\n\r\n{}", "x".repeat(50_000));
+        let call = format!("GET /stats HTTP/1.1\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(60_000));
+        let (front, admin) = (&conductor.front, &conductor.admin);
+        let cases =
+            [(front, &long, "413"), (front, &chunked, "413"), (front, &bad, "400"), (admin, &call, "413")];
+        for (address, request, status) in cases {
+            // All at once, and so that the answer is made amid it.
+            for pause in [None, Some(Duration::from_millis(30))] {
+                let mut wire = Wire::connect(address).await;
+                let first = request.len() - 40_000;
+                wire.write_all_it_takes(&request[..first]).await;
+                if let Some(pause) = pause {
+                    sleep(pause).await;
+                }
+                wire.write_all_it_takes(&request[first..]).await;
+                let answer = wire.whole_end().await.unwrap_or_else(|| panic!("reset: {request:.200}"));
+                assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer} for {request:.200}");
+            }
+        }
+        assert_eq!(seen.lock().expect("no panic").len(), 0);
+    });
+}
+
+/// Failure: whoever sends on while its time is over is reset instead of answered or ended.
+#[test]
+fn whoever_trickles_until_its_time_is_over_is_ended_cleanly() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let conductor = conductor(&list, 256).await;
+        let body =
+            platform_request("body", "ask", 4000, &"x".repeat(60_000)).replace(&"x".repeat(60_000), "");
+        let cases = [(body.as_str(), "HTTP/1.1 408"), ("POST /v1/chat HTTP/1.1\r\nX-Long: ", "")];
+        for (start, answer) in cases {
+            let mut wire = Wire::connect(&conductor.front).await;
+            wire.write(start).await;
+            let mut ended = None;
+            while ended.is_none() {
+                // All that comes before the end is written without a break.
+                wire.write_all_it_takes("x").await;
+                ended = timeout(Duration::from_millis(2), wire.whole_end()).await.ok();
+            }
+            let text = ended.flatten().unwrap_or_else(|| panic!("reset after {start}"));
+            assert!(text.starts_with(answer) && text.is_empty() == answer.is_empty(), "{text} after {start}");
+        }
+        assert_eq!(seen.lock().expect("no panic").len(), 0);
+    });
+}
+
+/// What became of a request that was written on a resting connection.
+async fn served(wire: &mut Wire, id: &str) -> bool {
+    wire.write_all_it_takes(&platform_request(id, "ask", 4000, "{}")).await;
+    match wire.until("0\r\n\r\n").await {
+        Some(answer) => {
+            assert!(answer.starts_with("HTTP/1.1 200"), "{id}: {answer}");
+            true
+        }
+        None => {
+            assert_eq!(wire.whole_end().await.as_deref(), Some(""), "{id} is reset or half answered");
+            false
+        }
+    }
+}
+
+/// Failure: a request that crosses the close of its resting connection is sent on and its answer lost, or the
+/// connection reset.
+#[test]
+fn a_request_that_crosses_an_eviction_is_served_or_was_never_read() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let conductor = conductor(&list, 64).await;
+        let (mut taken, mut lost) = (Vec::new(), 0);
+        for round in 0..8_u64 {
+            let mut resting = Vec::new();
+            for _ in 0..12 {
+                let mut wire = Wire::connect(&conductor.front).await;
+                wire.write(UP).await;
+                wire.until("\r\n\r\n").await.expect("an answer");
+                resting.push(wire);
+            }
+            // Those who have rested for 50 ms give way to newcomers.
+            sleep(Duration::from_millis(40 + 3 * round)).await;
+            let newcomers = join_all((0..12).map(|_| Wire::connect(&conductor.front))).await;
+            let asked = resting.into_iter().enumerate().map(async |(n, mut wire)| {
+                sleep(Duration::from_millis(n as u64 * 4)).await;
+                let id = format!("r{round}-{n}");
+                served(&mut wire, &id).await.then_some(id)
+            });
+            for id in join_all(asked).await {
+                match id {
+                    Some(id) => taken.push(id),
+                    None => lost += 1,
+                }
+            }
+            drop(newcomers);
+        }
+        println!("{} served, {lost} ended", taken.len());
+        assert!(lost > 0, "some were evicted");
+        let mut seen = seen.lock().expect("no panic").clone();
+        seen.sort();
+        taken.sort();
+        assert_eq!(seen, taken, "servers have got what was answered, once");
+    });
+}
+
+/// Failure: at the end of the process a resting client's request is sent on and its answer lost, its connection is
+/// reset, or clients that only rest keep the process.
+#[test]
+fn at_the_end_of_the_process_resting_clients_are_served_or_ended_cleanly() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let (front, admin, folder) = (nowhere(), nowhere(), Folder::new("races-end"));
+        let mut child = process(&list, 256, &front.address, &admin.address, &folder).await;
+        let mut resting = Vec::new();
+        for _ in 0..40 {
+            let mut wire = Wire::connect(&front.address).await;
+            wire.write(UP).await;
+            wire.until("\r\n\r\n").await.expect("an answer");
+            resting.push(wire);
+        }
+        // These say nothing until the process ends, and these don't even close when it ends them.
+        let silent = resting.split_off(36);
+        let mute = resting.split_off(32);
+        let id = child.id().expect("it runs").to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().await.expect("kill runs").success());
+        let asked = resting.into_iter().enumerate().map(async |(n, mut wire)| {
+            sleep(Duration::from_millis(n as u64 * 25)).await;
+            let id = format!("end-{n}");
+            served(&mut wire, &id).await.then_some(id)
+        });
+        let silent = join_all(silent.into_iter().map(async |mut wire| wire.whole_end().await));
+        let (taken, silent, ended) = tokio::join!(join_all(asked), silent, child.wait());
+        assert!(ended.expect("it ends").success());
+        assert!(silent.iter().all(|end| end.as_deref() == Some("")), "{silent:?}");
+        let mut taken: Vec<String> = taken.into_iter().flatten().collect();
+        println!("{} served", taken.len());
+        assert!((1..32).contains(&taken.len()), "the early ones are served, the late ones are not");
+        let mut seen = seen.lock().expect("no panic").clone();
+        seen.sort();
+        taken.sort();
+        assert_eq!(seen, taken, "servers have got what was answered, once");
+        for mut wire in mute {
+            assert_eq!(wire.rest().await, "");
+        }
+    });
+}
+
+/// Connects, sends a whole request and is gone, without giving anybody else on this thread a turn.
+fn ask_and_go(front: &str, id: &str) {
+    let mut stream = std::net::TcpStream::connect(front).expect("a connection");
+    stream.write_all(platform_request(id, "book", 15_000, "{}").as_bytes()).expect("the system takes it");
+}
+
+/// Failure: a crowd that had gone before it was heard is worked for.
+#[test]
+fn a_crowd_that_has_gone_has_asked_nothing() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let conductor = conductor(&list, 256).await;
+        // As many as the system's queue surely has room for.
+        for round in 0..4 {
+            for n in 0..100 {
+                ask_and_go(&conductor.front, &format!("flood-{round}-{n}"));
+            }
+            let id = format!("after-{round}");
+            let mut client = conductor.ask(&id, "ask", 4000).await;
+            assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+            assert_eq!(std::mem::take(&mut *seen.lock().expect("no panic")), [id]);
+        }
+        while figure(&conductor.admin, "in_progress").await > 0 {}
+    });
+}
+
+/// Failure: crowds that ask and go take the descriptors, leave requests open, or have a request sent twice.
+#[test]
+fn crowds_that_ask_and_go_leave_nothing_behind() {
+    story(async {
+        let (list, seen) = servers(Peer::start().await, Peer::start().await);
+        let (front, admin, folder) = (nowhere(), nowhere(), Folder::new("races-flood"));
+        let child = process(&list, 64, &front.address, &admin.address, &folder).await;
+        let descriptors = format!("/proc/{}/fd", child.id().expect("it runs"));
+        let most = Arc::new(AtomicUsize::new(0));
+        let counts = most.clone();
+        std::thread::spawn(move || {
+            while let Ok(open) = std::fs::read_dir(&descriptors) {
+                counts.fetch_max(open.filter(Result::is_ok).count(), Ordering::Relaxed);
+                std::thread::sleep(Duration::from_micros(100));
+            }
+        });
+        for n in 0..400 {
+            ask_and_go(&front.address, &format!("flood-{n}"));
+            if n % 20 == 0 {
+                // The servers of this thread get a turn.
+                tokio::task::yield_now().await;
+            }
+        }
+        let mut client = Wire::connect(&front.address).await;
+        client.write(&platform_request("after", "ask", 4000, "{}")).await;
+        assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+        while figure(&admin.address, "in_progress").await > 0 {}
+        let mut seen = seen.lock().expect("no panic").clone();
+        let all = seen.len();
+        seen.sort();
+        seen.dedup();
+        assert_eq!(seen.len(), all, "each is sent once at most");
+        let most = most.load(Ordering::Relaxed);
+        println!("{all} were sent on, {most} descriptors at most");
+        assert!(most > 0 && most <= 64, "{most} descriptors");
+    });
+}
