--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -62,6 +62,11 @@
         socket2::SockRef::from(&self.stream).set_linger(now).expect("an option");
     }
 
+    /// Whether the other side has reset the connection since its end, which no read tells any more.
+    pub fn is_reset(&self) -> bool {
+        socket2::SockRef::from(&self.stream).take_error().expect("an option").is_some()
+    }
+
     /// The rest of a chunked answer, to its last chunk.
     pub async fn rest_of_answer(&mut self) -> String {
         self.until("0\r\n\r\n").await.expect("the last chunk")
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -115,17 +115,16 @@
         let cases =
             [(front, &long, "413"), (front, &chunked, "413"), (front, &bad, "400"), (admin, &call, "413")];
         for (address, request, status) in cases {
-            // All at once, and so that the answer is made amid it.
-            for pause in [None, Some(Duration::from_millis(30))] {
+            // All at once, and so that the last bytes come behind the answer.
+            for behind in [0, 40_000] {
                 let mut wire = Wire::connect(address).await;
-                let first = request.len() - 40_000;
-                wire.write_all_it_takes(&request[..first]).await;
-                if let Some(pause) = pause {
-                    sleep(pause).await;
-                }
-                wire.write_all_it_takes(&request[first..]).await;
-                let answer = wire.whole_end().await.unwrap_or_else(|| panic!("reset: {request:.200}"));
-                assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer} for {request:.200}");
+                let (first, last) = request.split_at(request.len() - behind);
+                wire.write_all_it_takes(first).await;
+                let head = wire.until("\r\n\r\n").await.unwrap_or_else(|| panic!("reset: {request:.200}"));
+                assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{head} for {request:.200}");
+                wire.write_all_it_takes(last).await;
+                assert!(wire.whole_end().await.is_some(), "reset: {request:.200}");
+                assert!(!wire.is_reset(), "{behind} bytes behind the answer to {request:.200}");
             }
         }
         assert_eq!(seen.lock().expect("no panic").len(), 0);
@@ -151,6 +150,8 @@
                 ended = timeout(Duration::from_millis(2), wire.whole_end()).await.ok();
             }
             let text = ended.flatten().unwrap_or_else(|| panic!("reset after {start}"));
+            wire.write_all_it_takes("x").await;
+            assert!(!wire.is_reset(), "by what still came after {start}");
             assert!(text.starts_with(answer) && text.is_empty() == answer.is_empty(), "{text} after {start}");
         }
         assert_eq!(seen.lock().expect("no panic").len(), 0);
@@ -194,7 +195,9 @@
             let asked = resting.into_iter().enumerate().map(async |(n, mut wire)| {
                 sleep(Duration::from_millis(n as u64 * 4)).await;
                 let id = format!("r{round}-{n}");
-                served(&mut wire, &id).await.then_some(id)
+                let served = served(&mut wire, &id).await;
+                assert!(served || !wire.is_reset(), "{id} is reset by its request");
+                served.then_some(id)
             });
             for id in join_all(asked).await {
                 match id {
