Count a session's place among the readers in place of guessing it from its score

Before anything is wrong, 306 of 863 requests had no reader that was presumed as the session's place and 203 two or more, as `is_home` in src/choice.rs took the place from the score at each reader alone; 177 of the 306 went elsewhere than to the highest score.

Ruled out: want of capacity (a quarter is used while text is found), writers, zones (93% of the turns come back to it).

Change: the place is counted in the order of all readers that are ready and warm (src/rendezvous.rs); who drains or is cold has its place taken by the next meanwhile. The homes of an opening are counted likewise. Of more readers than a choice looks at the place is still guessed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod program;
 pub mod protocol;
 pub mod recovery;
+pub mod rendezvous;
 pub mod roster;
 pub mod routing;
 pub mod transport;
