--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,6 @@
 
 use crate::interface::*;
 use crate::pace::{PACE_HALF_LIFE, Pace};
-use crate::rendezvous::{self, Order, Places};
 use crate::roster::{Look, Roster, even_lot};
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
@@ -415,7 +414,7 @@
         let longer = class.aim_per_1000_tokens.saturating_mul(open.request.prompt_tokens) / 1000;
         let aim = class.aim.saturating_add(longer).min(open.request.expires.saturating_sub(now));
         let queue = self.load(now, server, 0.0) / self.pace(now, server) + wait;
-        let kept = self.presumed(now, server, &open.request, &self.places(now, &open.request));
+        let kept = self.presumed(now, server, &open.request, self.strange(&open.request));
         let (missing, pace) = ((open.request.prompt_tokens - kept) as f64, self.pace(now, server));
         let crowded = self.load(now, server, chance * HERD * self.peers_rate()) / pace + wait;
         let hopeless = crowded > self.bound(&open.request) || queue + missing / pace > aim as f64 / 1e6;
@@ -452,7 +451,7 @@
     /// send to the one that looks empty, and sessions move with every wave. May hurt in uneven fleets.
     fn rank_readers(&mut self, now: Micros, id: RequestId, two_left: bool) -> Vec<ServerId> {
         let Some(open) = self.requests.get(&id) else { return Vec::new() };
-        let (places, thin) = (self.places(now, &open.request), self.thin());
+        let (strange, thin) = (self.strange(&open.request), self.thin());
         let writers_read = self.settings.limits.writers_read && self.readers.count <= 0.0;
         let (mut found, mut home, share) = (Vec::new(), None, ROOM.min(self.writers.memory + MIXED_LEAD));
         for sid in self.roster.readers(&mut self.rng, keys(&open.request).map(|(key, _)| key), LOOK_AT) {
@@ -467,12 +466,11 @@
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(&open.request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
-            let missing = open.request.prompt_tokens - self.presumed(now, server, &open.request, &places);
+            let missing = open.request.prompt_tokens - self.presumed(now, server, &open.request, strange);
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
-            let (own, shared) = self.chances(server, &places);
-            let kept = own.max(shared) >= 1.0 || promised(now, server, &open.request) > 0;
             let unwilling = self.unwilling(now, server, open);
+            let kept = promised(now, server, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
             let class = u8::from(thin && !kept && !cold);
             if let Some(looked) = &mut self.looked {
@@ -482,12 +480,14 @@
             if barred.is_some() {
                 continue;
             }
-            let score = |key: SessionKey| rendezvous::score(key.0, sid, server.weight);
-            let place = far - open.request.session.map_or_else(|| self.rng.random(), score);
-            if home.is_none_or(|(u, p, _)| (unwilling.is_some(), place) < (u, p)) {
-                home = Some((unwilling.is_some(), place, found.len()));
+            let unwilling = unwilling.is_some();
+            let place =
+                far - open.request.session.map_or_else(|| self.rng.random(), |key| lot(key.0, server));
+            if home.is_none_or(|(u, p, _)| (unwilling, place) < (u, p)) {
+                home = Some((unwilling, place, found.len()));
             }
-            found.push((unwilling.is_some(), class, cost, (self.rng.random(), server.weight), sid));
+            let chance = (self.rng.random(), server.weight);
+            found.push((unwilling, class, cost, chance, sid));
         }
         if let Some((_, _, at)) = home {
             found[at].1 = 0;
@@ -496,37 +496,21 @@
     }
 
     /// Prompt tokens that the server may keep for the request: by the table, or by what peers may have sent.
-    /// All presume the same homes of a prefix, and, by falling chance, the same places of a session in its
-    /// client's zone: each of hundreds of dispatchers sees too little to meet either twice.
-    fn presumed(&self, now: Micros, server: &Server, request: &Request, places: &Places) -> u64 {
-        let (own, shared) = self.chances(server, places);
-        let peers = (own * request.prompt_tokens as f64).max(shared * request.prefix_tokens as f64) as u64;
-        promised(now, server, request).max(peers).min(request.prompt_tokens)
-    }
-
-    /// The chances that a reader is the place of the session, and a home of the prefix.
-    fn chances(&self, server: &Server, places: &Places) -> (f64, f64) {
+    /// All presume the same homes of a prefix, drawn by lot, and, by falling chance, the same places of a
+    /// session in its client's zone: each of hundreds of dispatchers sees too little to meet either twice.
+    fn presumed(&self, now: Micros, server: &Server, request: &Request, strange: bool) -> u64 {
         let near = server.entry.zone == self.settings.zone && server.role == Role::Reader;
-        places.chances(server.entry.id, server.weight, near, HOMES)
-    }
-
-    /// Where peers may have sent the request's session, if this dispatcher has not met it, and its prefix.
-    fn places(&self, now: Micros, request: &Request) -> Places {
-        let (session, zone) = (request.session.filter(|_| self.strange(request)), Some(self.settings.zone));
-        let session = session.map(|key| self.order(now, key.0, zone));
-        Places { session, prefix: request.prefix.map(|key| self.order(now, key.0, None)) }
+        let own = match request.session.filter(|_| strange && near) {
+            Some(key) => request.prompt_tokens as f64 * is_home(key.0, server, 1.0, self.near_readers),
+            None => 0.0,
+        };
+        let shared = request.prefix_tokens as f64 * self.homely(request, server);
+        promised(now, server, request).max(own.max(shared) as u64).min(request.prompt_tokens)
     }
 
-    /// The readers' order for a key; who drains or is cold has its place taken by the next meanwhile.
-    fn order(&self, now: Micros, key: u64, zone: Option<ZoneId>) -> Order {
-        let count = if zone.is_some() { self.near_readers } else { self.readers.count };
-        if count > LOOK_AT.all as f64 {
-            return Order::guessed(key, count);
-        }
-        let near = |s: &&Server| s.role == Role::Reader && zone.is_none_or(|zone| s.entry.zone == zone);
-        let counts = |s: &&Server| s.entry.takes_work() && self.warmth(now, s) >= 1.0;
-        let all = self.servers.values().filter(|s| near(s) && counts(s));
-        Order::among(key, all.map(|s| (s.entry.id, s.weight)))
+    /// The chance that the reader is a home of the request's prefix.
+    fn homely(&self, request: &Request, server: &Server) -> f64 {
+        request.prefix.map_or(0.0, |key| is_home(key.0, server, HOMES, self.readers.count))
     }
 
     /// Dispatchers are many: each sees too little to know a reader or a session by its own sends.
@@ -594,7 +578,8 @@
                 looked.push(Candidate { server: sid, barred, last_resort, class, cost });
             }
             if barred.is_none() {
-                found.push((last_resort.is_some(), class, measure, (self.rng.random(), server.weight), sid));
+                let chance = (self.rng.random(), server.weight);
+                found.push((last_resort.is_some(), class, measure, chance, sid));
             }
         }
         ranked(found)
@@ -1039,6 +1024,17 @@
     session.into_iter().chain(prefix)
 }
 
+/// A number in [0, 1) that every dispatcher finds for this key at this server, the nearer to 1 the heavier.
+fn lot(key: u64, server: &Server) -> f64 {
+    let even = even_lot(key, server.entry.id);
+    if server.weight == 1.0 { even } else { even.powf(1.0 / server.weight) }
+}
+
+/// The chance that a server is one of a key's homes among so many, by its place in the key's order.
+fn is_home(key: u64, server: &Server, homes: f64, count: f64) -> f64 {
+    (homes / ((1.0 - lot(key, server)) * count)).min(1.0)
+}
+
 /// Prompt tokens that the table holds for the request.
 fn promised(now: Micros, server: &Server, request: &Request) -> u64 {
     let fresh = |(key, most): (Key, u64)| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,7 +39,6 @@
 pub mod program;
 pub mod protocol;
 pub mod recovery;
-pub mod rendezvous;
 pub mod roster;
 pub mod routing;
 pub mod transport;
