Let a jammed place stand behind others: a trial

Change: a place at which a request would wait longer than it may is of the class of all other readers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -485,7 +485,8 @@
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
-            let class = u8::from(thin && own == 0 && place.is_none() && !cold);
+            let jammed = load / pace > self.bound(request); // no better than any other
+            let class = u8::from(thin && !cold && (jammed || own == 0 && place.is_none()));
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Read { missing, load, pace, price, cost };
                 looked.push(Candidate { server: sid, barred, last_resort: unwilling, class, cost });
