Hold what is written before a break by a test that fails without it

Need: the story what_came_before_an_answer_broke_off_reaches_its_client passes without its change too, as there the event and the break come in different turns; so the mend had no test. Change: a test on the server's connection with both there at once, for which the body does not need a ticket. Measured: without the change nothing at all is written (the answer is empty), with it the test passes; the story stays as a guard.

--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -109,14 +109,14 @@
 }
 
 /// A server's events on their way to the client; dropping it tells that the client has left.
-struct Events {
+struct Events<T = Ticket> {
     body: Body,
     /// The answer has broken off, and what came of it is being written.
     broken: bool,
-    _ticket: Ticket,
+    _ticket: T,
 }
 
-impl http_body::Body for Events {
+impl<T: Unpin> http_body::Body for Events<T> {
     type Data = Bytes;
     type Error = Broken;
 
@@ -138,3 +138,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
