Hold settings and reports of nonsense by tests, and name where they stand

A ReleaseWithinMs of 0 had the calls that let go asked in one turn without end: a pause of a millisecond at least lies between two rounds now. A report of 1e300 tokens that wait made a reader's pace a nonsense for as long: values over 100,000 are passed over, as those below 0 are. A start beyond 9e18 us is no time, so that a warm-up can be added.

Refusals of the settings tell the setting, not the module's name for it alone; WarmUpMs and TipAfterMs are 1 us at least, as both are divided by; a ConnIdleMs or ConnectTimeoutMs of 0 counts as one that is missing (15 s, 250 ms).

--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -122,7 +122,11 @@
     serde_json::from_slice::<ReadReply>(body).map_or(0, |reply| reply.cached_tokens)
 }
 
-/// Reads a load report such as `TEXT inflight=7, queue=2, util=0.61`; unknown fields are passed over.
+/// No value of a report is larger than this (a guess): 100 million tokens that wait, or 100,000 requests, are hours.
+const MOST_REPORTED: f64 = 1e5;
+
+/// Reads a load report such as `TEXT inflight=7, queue=2, util=0.61`; unknown fields, and values that no server can
+/// mean, are passed over.
 pub fn report(text: &str, fields: &[ReportField]) -> Option<Report> {
     let text = text.trim();
     let text = text.strip_prefix("TEXT").unwrap_or(text);
@@ -130,7 +134,8 @@
     let mut any = false;
     for part in text.split(',') {
         let Some((name, value)) = part.trim().split_once('=') else { continue };
-        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| (0.0..=MOST_REPORTED).contains(v))
+        else {
             continue;
         };
         any = true;
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -186,6 +186,28 @@
     share: f64,
 }
 
+/// Spans that others are divided by are at least this long, in microseconds: a warm-up of 0 is over at once.
+const LEAST_SPAN: Micros = 1;
+
+/// Where the settings have what the decisions call so.
+fn place(error: &SettingsError) -> &'static str {
+    let (SettingsError::Empty(what) | SettingsError::OutOfRange(what)) = error;
+    match *what {
+        "dispatchers" => "Info ReplicasOfMe",
+        "kinds" => "Info Models",
+        "classes" => "Info Classes",
+        "attempts" => "Info Limits.SendCap",
+        "worth" => "Info Classes.Points or LateValue",
+        "tenants" => "Info Tenants",
+        "over_share_worth" => "Info OverShareWorth",
+        "cold_from" => "Info Rules.ColdFrom",
+        "fall_multiple" => "Info Rules.FallMultiple",
+        "memory_tokens" => "Info Extra.KvTokens",
+        "prices" => "Info Prices or Extra.CrossCellPrice",
+        _ => "Info",
+    }
+}
+
 fn time(key: &str, ms: f64) -> Parsed<Micros> {
     micros(&format!("Info {key}"), ms)
 }
@@ -199,7 +221,7 @@
         };
         let extra = &self.extra;
         let mut kinds = Vec::new();
-        for (at, _) in self.models.iter().enumerate() {
+        for (at, model) in self.models.iter().enumerate() {
             let role = match extra.kind_role.get(at).map(String::as_str) {
                 Some("read") => Role::Reader,
                 Some("write") => Role::Writer,
@@ -208,6 +230,9 @@
                 None => return fault("Info Extra.KindRole", "has too few entries"),
             };
             let memory_tokens = per("Extra.KvTokens", &extra.kv_tokens, at)? as u64;
+            if memory_tokens == 0 {
+                return fault("Info Extra.KvTokens", format!("'{model}' has no memory"));
+            }
             kinds.push(Kind { role, memory_tokens });
         }
         let mut classes = Vec::new();
@@ -250,9 +275,9 @@
                 answer_slack: time("Rules.AnswerSlackMs", rules.answer_slack_ms)?,
                 drain_grace: time("Rules.DrainGraceMs", rules.drain_grace_ms)?,
                 cold_from: rules.cold_from,
-                warm_up: time("Rules.WarmUpMs", rules.warm_up_ms)?,
+                warm_up: time("Rules.WarmUpMs", rules.warm_up_ms)?.max(LEAST_SPAN),
                 fall_multiple: rules.fall_multiple,
-                fall_after: time("Rules.TipAfterMs", rules.tip_after_ms)?,
+                fall_after: time("Rules.TipAfterMs", rules.tip_after_ms)?.max(LEAST_SPAN),
                 ask_within: time("Rules.AskWithinMs", rules.ask_within_ms)?,
                 release_within: time("Extra.ReleaseWithinMs", extra.release_within_ms)?,
             },
@@ -275,14 +300,19 @@
                 _ => return fault("Info Discovery", "neither pushed nor on_request"),
             },
         };
-        Ok(settings)
+        match settings.check() {
+            Ok(()) => Ok(settings),
+            Err(error) => fault(place(&error), error.to_string()),
+        }
     }
 
-    /// What holds for connections: 15 s and 250 ms where the settings don't say.
+    /// What holds for connections: 15 s and 250 ms where the settings don't say, or say 0, which no connection could
+    /// keep.
     pub fn links(&self) -> Parsed<Links> {
+        let told = |ms: Option<f64>, otherwise| ms.filter(|ms| *ms != 0.0).unwrap_or(otherwise);
         Ok(Links {
-            idle: time("Limits.ConnIdleMs", self.limits.conn_idle_ms.unwrap_or(15_000.0))?,
-            connect: time("Limits.ConnectTimeoutMs", self.limits.connect_timeout_ms.unwrap_or(250.0))?,
+            idle: time("Limits.ConnIdleMs", told(self.limits.conn_idle_ms, 15_000.0))?,
+            connect: time("Limits.ConnectTimeoutMs", told(self.limits.connect_timeout_ms, 250.0))?,
         })
     }
 
--- a/src/recovery/let_go.rs
+++ b/src/recovery/let_go.rs
@@ -9,6 +9,9 @@
 /// Where nobody has taken the call, servers free what is held by themselves after some seconds (a guess: the platform
 /// tells no figure).
 const FREED: Micros = 5_000_000;
+/// Between two rounds there is a pause, also where the settings leave no time at all: else one turn would ask without
+/// end (a guess; a call takes about as long).
+const LEAST_PAUSE: Micros = 1_000;
 
 /// One request's calls.
 pub struct LetGo {
@@ -29,7 +32,8 @@
     /// Calls to these servers, the likeliest holders first; the last is asked within the given time.
     pub fn new(now: Micros, order: Vec<ServerId>, within: Micros) -> Self {
         let (due, done) = ((!order.is_empty()).then_some(now), order.is_empty());
-        LetGo { order, asked: 0, out: 0, within, pause: within, due, until: now + FREED, done }
+        let pause = within.max(LEAST_PAUSE);
+        LetGo { order, asked: 0, out: 0, within, pause, due, until: now + FREED, done }
     }
 
     /// Somebody has taken the call, or nobody will.
--- a/src/transport/clock.rs
+++ b/src/transport/clock.rs
@@ -7,6 +7,9 @@
 /// The clock's reading at the program's start, so that servers which started earlier have a time on it too.
 const AT_START: Micros = 3_600_000_000;
 
+/// No time is later, in microseconds, so that a span of the settings, which is below this too, can be added to it.
+const LATEST: f64 = 9e18;
+
 /// Maps the monotonic clock, and once, at the start, Unix time to event time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -34,7 +37,7 @@
     /// The event time of a Unix time in milliseconds; none if that is long ago or no time at all.
     pub fn at_unix_ms(&self, ms: f64) -> Option<Micros> {
         let at = ms * 1000.0 - self.unix_at_start + AT_START as f64;
-        (ms > 0.0 && at >= 1.0).then_some(at as Micros)
+        (ms > 0.0 && (1.0..LATEST).contains(&at)).then_some(at as Micros)
     }
 }
 
--- a/src/transport/clock/tests.rs
+++ b/src/transport/clock/tests.rs
@@ -8,3 +8,13 @@
     assert_eq!(clock.at_unix_ms(0.0), None);
     assert_eq!(clock.at_unix_ms(5e12 - 3_600_001.0), None);
 }
+
+#[test]
+fn a_start_of_nonsense_is_no_time() {
+    let clock = Clock::start();
+    for ms in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e300, 1e17, -1.0, 0.0] {
+        assert_eq!(clock.at_unix_ms(ms), None, "{ms}");
+    }
+    let ahead = clock.at_unix_ms(1e15).expect("a time far ahead");
+    assert!(ahead.checked_add(9_000_000_000_000_000_000).is_some(), "a span can be added to {ahead}");
+}
