--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -35,7 +35,7 @@
         #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(1..=3600))]
         seconds: u64,
         /// Days, by seeds from 1 on
-        #[arg(long, default_value_t = 3)]
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..))]
         seeds: u64,
     },
 }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -23,6 +23,8 @@
 const AIM: Micros = 1_200_000;
 /// ... with this more for each 1,000 tokens of the prompt (both as the deployment sets them).
 const AIM_PER_1000_TOKENS: Micros = 40_000;
+/// Requests a second beyond which the arrivals of a run fill the memory before it begins (a guess).
+const MOST_RATE: f64 = 1e6;
 /// Attempts of a request that a job's number has room for.
 const ATTEMPTS: u64 = 256;
 
@@ -73,6 +75,36 @@
         self.cells * (self.readers + self.writers)
     }
 
+    /// What no run could play: servers that never take or end a job, nobody to ask, or chances that are none.
+    fn check(&self) -> Result<(), SettingsError> {
+        let chance = |part: f64| (0.0..=1.0).contains(&part);
+        let mean = |value: f64| value.is_finite() && value > 0.0;
+        let (reader, writer, workload) = (&self.reader, &self.writer, &self.workload);
+        let of_both = |figure: fn(&Shape) -> bool| figure(reader) && figure(writer);
+        let figures = [
+            ("cells", self.cells > 0),
+            ("readers", self.readers > 0),
+            ("writers", self.writers > 0),
+            ("conductors", self.conductors > 0),
+            ("slots", of_both(|shape| shape.slots > 0)),
+            ("chunk", of_both(|shape| shape.chunk > 0)),
+            ("block", of_both(|shape| shape.block > 0)),
+            ("blocks", of_both(|shape| shape.blocks > 0)),
+            ("step", of_both(|shape| shape.step > 0)),
+            ("rate", mean(workload.rate) && workload.rate <= MOST_RATE),
+            ("turn", mean(workload.turn)),
+            ("answer", mean(workload.answer)),
+            ("families", workload.families > 0),
+            ("again", chance(workload.again)),
+            ("bookings", chance(workload.bookings)),
+            ("faults", self.faults.iter().all(|(_, server, _)| *server < self.servers())),
+        ];
+        match figures.into_iter().find(|(_, fits)| !fits) {
+            Some((figure, _)) => Err(SettingsError::OutOfRange(figure)),
+            None => Ok(()),
+        }
+    }
+
     fn settings(&self) -> Settings {
         let mut settings = Settings::plain(self.conductors as u32);
         let kind = |role, shape: &Shape| Kind { role, memory_tokens: shape.blocks as u64 * shape.block };
@@ -180,6 +212,7 @@
 
 /// Runs a plan.
 pub fn run(plan: &Plan) -> Result<Report, SettingsError> {
+    plan.check()?;
     let settings = plan.settings();
     let mut conductors = Vec::new();
     for n in 0..plan.conductors {
