--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -23,8 +23,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tower::Service;
 
-use super::door::linger;
 use super::line::Lines;
+use super::listener::linger;
 use crate::protocol::figures;
 use crate::recovery::{Call, Phase};
 use crate::transport::hub::message::Hub;
--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::sync::watch;
 
-use super::door::WholeBy;
+use super::listener::WholeBy;
 use crate::interface::Micros;
 use crate::protocol::platform::{self, MOST_BODY};
 use crate::protocol::settings::Names;
