--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -23,7 +23,7 @@
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
 use crate::transport::export;
-use crate::transport::front::line::Lines;
+use crate::transport::front::connection::Connections;
 use crate::transport::front::listener::Listener;
 use crate::transport::front::operators::{self, Operators, OperatorsListener};
 use crate::transport::front::platform::{self, Front};
@@ -105,7 +105,7 @@
 
 /// One run of the program.
 pub struct Life {
-    lines: Lines,
+    connections: Connections,
     hub: Hub,
     front: Front,
     listener: Listener,
@@ -192,10 +192,10 @@
         };
         let heard = list.run(&hub, clock).await?;
         let knows = !config.known.members.is_empty() && operator.servers.is_none();
-        let lines = budget.fronts;
-        let front = Front { hub: hub.clone(), pool, names: Arc::new(names), phase: lines.phases() };
+        let connections = budget.fronts;
+        let front = Front { hub: hub.clone(), pool, names: Arc::new(names), phase: connections.phases() };
         Ok(Life {
-            lines,
+            connections,
             hub,
             front,
             listener,
@@ -211,7 +211,7 @@
 
     /// The phases as they come.
     pub fn phases(&self) -> watch::Receiver<Phase> {
-        self.lines.phases()
+        self.connections.phases()
     }
 
     /// Where clients of the platform connect, and those of the JSON-RPC front if it is set up.
@@ -228,9 +228,9 @@
     /// Serves until SIGTERM, then finishes; gives the counters at the end.
     pub async fn run(mut self) -> Result<Counted, ProgramError> {
         let mut serving = JoinSet::new();
-        tokio::spawn(self.lines.clone().keep_time());
+        tokio::spawn(self.connections.clone().keep_time());
         if let Some(admin) = self.admin {
-            let operators = Operators { lines: self.lines.clone(), hub: self.hub.clone() };
+            let operators = Operators { connections: self.connections.clone(), hub: self.hub.clone() };
             tokio::spawn(admin.serve(operators::routes(operators)));
         }
         serving.spawn(self.listener.serve(platform::routes(self.front)));
@@ -240,22 +240,22 @@
         let mut heard = self.heard;
         let heard = async { heard.wait_for(|heard| *heard).await.is_ok() };
         let mut known = pin!(tokio::time::timeout(self.patience, heard));
-        let phases = self.lines.phases();
+        let phases = self.connections.phases();
         loop {
             let starting = *phases.borrow() == Phase::Starting;
             tokio::select! {
-                _ = &mut known, if starting => self.lines.feed(Input::Able),
+                _ = &mut known, if starting => self.connections.feed(Input::Able),
                 _ = self.terminate.recv() => break,
                 _ = self.report.recv() => println!("{}", figures::line(&self.hub.counted().await.figures())),
                 Some(ended) = serving.join_next() => ended.map_err(io::Error::other)?,
             }
         }
-        self.lines.feed(Input::Terminate);
+        self.connections.feed(Input::Terminate);
         // What is still open then would be cut off by the kill as well.
         let ended = async { while serving.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(self.longest + BEFORE_KILL, ended).await;
         let counted = self.hub.counted().await;
-        self.lines.feed(Input::Done);
+        self.connections.feed(Input::Done);
         Ok(counted)
     }
 }
--- a/src/recovery/drain.rs
+++ b/src/recovery/drain.rs
@@ -55,7 +55,7 @@
 
 /// A client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LineId(pub u64);
+pub struct ConnectionId(pub u64);
 
 /// What operators call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,13 +81,13 @@
     /// All that was taken is answered, or the time is over.
     Done,
     /// A connection has been taken.
-    Opened(LineId),
+    Opened(ConnectionId),
     /// A request begins on it.
-    Asked(LineId),
+    Asked(ConnectionId),
     /// Its request is answered, and all of the answer written.
-    Answered(LineId),
+    Answered(ConnectionId),
     /// It has ended.
-    Ended(LineId),
+    Ended(ConnectionId),
     /// Time has passed.
     Tick,
 }
@@ -98,7 +98,7 @@
     /// The program enters a phase.
     Enter(Phase),
     /// A connection on which no request is open is to be closed.
-    Close(LineId),
+    Close(ConnectionId),
 }
 
 /// How clients are parted with.
@@ -137,7 +137,7 @@
     since: Micros,
     /// It was sent away before it could serve.
     away_first: bool,
-    resting: BTreeMap<LineId, Rest>,
+    resting: BTreeMap<ConnectionId, Rest>,
 }
 
 impl Drain {
@@ -186,9 +186,9 @@
             Input::Terminate if self.phase < Phase::Draining => self.part(now, Phase::Draining, out),
             Input::Done if self.phase >= Phase::Draining => self.enter(Phase::Ended, out),
             Input::Able | Input::Terminate | Input::Done | Input::Tick => {}
-            Input::Opened(line) => drop(self.resting.insert(line, Rest { since: now, fresh: true })),
-            Input::Answered(line) => drop(self.resting.insert(line, Rest { since: now, fresh: false })),
-            Input::Asked(line) | Input::Ended(line) => drop(self.resting.remove(&line)),
+            Input::Opened(id) => drop(self.resting.insert(id, Rest { since: now, fresh: true })),
+            Input::Answered(id) => drop(self.resting.insert(id, Rest { since: now, fresh: false })),
+            Input::Asked(id) | Input::Ended(id) => drop(self.resting.remove(&id)),
         }
         self.close(now, out);
     }
@@ -225,11 +225,11 @@
             self.enter(Phase::Closing, out);
         }
         let Some(terms) = self.terms() else { return };
-        let due = |(id, rest): (&LineId, &Rest)| (self.due(&terms, rest) <= now).then_some(*id);
-        let due: Vec<LineId> = self.resting.iter().filter_map(due).collect();
-        for line in due {
-            self.resting.remove(&line);
-            out.push(Output::Close(line));
+        let due = |(id, rest): (&ConnectionId, &Rest)| (self.due(&terms, rest) <= now).then_some(*id);
+        let due: Vec<ConnectionId> = self.resting.iter().filter_map(due).collect();
+        for id in due {
+            self.resting.remove(&id);
+            out.push(Output::Close(id));
         }
     }
 }
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -5,7 +5,7 @@
 mod let_go;
 mod pacing;
 
-pub use drain::{Call, Drain, Input, LineId, Output, Phase, Socket, TooLate};
+pub use drain::{Call, ConnectionId, Drain, Input, Output, Phase, Socket, TooLate};
 pub use let_go::LetGo;
 pub use pacing::{
     Call as ListCall, Ended as ListEnded, Input as ListInput, Pacing, Phase as ListPhase, Times,
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -5,7 +5,7 @@
 use tokio::sync::Semaphore;
 
 use super::clock::Clock;
-use super::front::line::Lines;
+use super::front::connection::Connections;
 use crate::protocol::config::LEAST_SOCKETS;
 use crate::recovery::Socket;
 
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     /// Connections of clients, over all fronts.
-    pub fronts: Lines,
+    pub fronts: Connections,
     /// Connections to peers, over all pools.
     pub peers: Arc<Semaphore>,
 }
@@ -34,7 +34,10 @@
         }
         let all = allowed.saturating_sub(RESERVED);
         let fronts = (all as f64 * FRONTS) as usize;
-        Budget { fronts: Lines::new(fronts, socket, clock), peers: Arc::new(Semaphore::new(all - fronts)) }
+        Budget {
+            fronts: Connections::new(fronts, socket, clock),
+            peers: Arc::new(Semaphore::new(all - fronts)),
+        }
     }
 }
 
--- a/src/transport/front/line.rs
+++ b/src/transport/front/connection.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::Instant;
 
-use crate::recovery::{Call, Drain, Input, LineId, Output, Phase, Socket, TooLate};
+use crate::recovery::{Call, ConnectionId, Drain, Input, Output, Phase, Socket, TooLate};
 use crate::transport::clock::{self, Clock};
 
 /// A connection that has never asked is closed after this: those who connect and say nothing are owed a close.
@@ -51,21 +51,21 @@
 }
 
 /// One connection.
-pub struct Line {
-    id: LineId,
+pub struct Connection {
+    id: ConnectionId,
     drain: Arc<Parting>,
     state: Mutex<State>,
     /// It has become quiet, or has to go.
     pub stirred: Notify,
 }
 
-impl Line {
-    fn new(id: LineId, drain: Arc<Parting>) -> Self {
+impl Connection {
+    fn new(id: ConnectionId, drain: Arc<Parting>) -> Self {
         let since = Instant::now();
         let due = since + WHOLE_WITHIN;
         let (stage, fresh, evicted, ahead, last) = (Stage::Quiet, true, false, false, false);
         let state = State { stage, since, due, fresh, evicted, ahead, last };
-        Line { id, drain, state: Mutex::new(state), stirred: Notify::new() }
+        Connection { id, drain, state: Mutex::new(state), stirred: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -175,11 +175,11 @@
     phase: watch::Sender<Phase>,
     /// The time of the next thing due may have changed.
     stirred: Notify,
-    open: Mutex<HashMap<LineId, Arc<Line>>>,
+    open: Mutex<HashMap<ConnectionId, Arc<Connection>>>,
 }
 
 impl Parting {
-    fn open(&self) -> MutexGuard<'_, HashMap<LineId, Arc<Line>>> {
+    fn open(&self) -> MutexGuard<'_, HashMap<ConnectionId, Arc<Connection>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -191,9 +191,9 @@
         for output in out {
             match output {
                 Output::Enter(phase) => drop(self.phase.send_replace(phase)),
-                Output::Close(line) => {
-                    if let Some(line) = self.open().get(&line) {
-                        line.evict();
+                Output::Close(id) => {
+                    if let Some(connection) = self.open().get(&id) {
+                        connection.evict();
                     }
                 }
             }
@@ -209,7 +209,7 @@
 
 /// All connections of clients, over all fronts.
 #[derive(Clone)]
-pub struct Lines {
+pub struct Connections {
     permits: Arc<Semaphore>,
     drain: Arc<Parting>,
     ids: Arc<std::sync::atomic::AtomicU64>,
@@ -218,18 +218,18 @@
 /// A connection's entry and its part of the budget.
 pub struct Place {
     /// The connection.
-    pub line: Arc<Line>,
+    pub connection: Arc<Connection>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.line.drain.open().remove(&self.line.id);
-        self.line.drain.feed(Input::Ended(self.line.id));
+        self.connection.drain.open().remove(&self.connection.id);
+        self.connection.drain.feed(Input::Ended(self.connection.id));
     }
 }
 
-impl Lines {
+impl Connections {
     /// At most so many connections, taken from such a socket.
     pub fn new(most: usize, socket: Socket, clock: Clock) -> Self {
         let drain = Parting {
@@ -239,7 +239,7 @@
             stirred: Notify::new(),
             open: Mutex::default(),
         };
-        Lines { permits: Arc::new(Semaphore::new(most)), drain: Arc::new(drain), ids: Arc::default() }
+        Connections { permits: Arc::new(Semaphore::new(most)), drain: Arc::new(drain), ids: Arc::default() }
     }
 
     /// The program's phases as they come.
@@ -290,29 +290,32 @@
 
     fn make_room(&self) {
         let now = Instant::now();
-        let rested = |line: &&Arc<Line>| {
-            let state = line.state();
+        let rested = |connection: &&Arc<Connection>| {
+            let state = connection.state();
             let rests = state.stage == Stage::Quiet && !state.evicted && state.since + LEAST_REST <= now;
             rests.then_some(state.since)
         };
         let open = self.drain.open();
-        let longest = open.values().filter_map(|line| Some((rested(&line)?, line))).min_by_key(|(at, _)| *at);
-        if let Some((_, line)) = longest {
-            line.evict();
+        let longest = open
+            .values()
+            .filter_map(|connection| Some((rested(&connection)?, connection)))
+            .min_by_key(|(at, _)| *at);
+        if let Some((_, connection)) = longest {
+            connection.evict();
         }
     }
 
     /// Enters a connection.
     pub fn enter(&self, permit: OwnedSemaphorePermit) -> Place {
-        let id = LineId(self.ids.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
-        let line = Arc::new(Line::new(id, self.drain.clone()));
-        self.drain.open().insert(id, line.clone());
+        let id = ConnectionId(self.ids.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        let connection = Arc::new(Connection::new(id, self.drain.clone()));
+        self.drain.open().insert(id, connection.clone());
         self.drain.feed(Input::Opened(id));
-        Place { line, _permit: permit }
+        Place { connection, _permit: permit }
     }
 }
 
-impl std::fmt::Debug for Lines {
+impl std::fmt::Debug for Connections {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{} connections", self.drain.open().len())
     }
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -29,7 +29,7 @@
 use tokio::time::Instant;
 use tower::Service;
 
-use super::line::{Line, Lines, Place};
+use super::connection::{Connection, Connections, Place};
 use crate::protocol::framing::{Framing, framing};
 use crate::protocol::platform::MOST_BODY;
 use crate::recovery::{Phase, Socket};
@@ -48,7 +48,7 @@
 pub struct Listener {
     listener: TcpListener,
     socket: Socket,
-    lines: Lines,
+    connections: Connections,
 }
 
 /// The time by which a request's body has to be there.
@@ -57,13 +57,13 @@
 
 impl Listener {
     /// Listens on an address.
-    pub async fn bind(address: &str, lines: Lines) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::bind(address).await?, socket: Socket::Own, lines })
+    pub async fn bind(address: &str, connections: Connections) -> io::Result<Self> {
+        Ok(Listener { listener: TcpListener::bind(address).await?, socket: Socket::Own, connections })
     }
 
     /// Listens on a socket that somebody else opened, and that others may hold as well.
-    pub fn adopt(listener: std::net::TcpListener, lines: Lines) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::from_std(listener)?, socket: Socket::Shared, lines })
+    pub fn adopt(listener: std::net::TcpListener, connections: Connections) -> io::Result<Self> {
+        Ok(Listener { listener: TcpListener::from_std(listener)?, socket: Socket::Shared, connections })
     }
 
     /// Where it listens.
@@ -72,16 +72,16 @@
     }
 
     async fn accept(&self) -> (Gate, Place) {
-        let permit = self.lines.room().await;
+        let permit = self.connections.room().await;
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
                     // Without it events would wait for the client's acknowledgements; the rest still works.
                     let _ = stream.set_nodelay(true);
-                    let place = self.lines.enter(permit);
+                    let place = self.connections.enter(permit);
                     let gate = Gate {
                         stream: Arc::new(stream),
-                        line: place.line.clone(),
+                        connection: place.connection.clone(),
                         held: BytesMut::new(),
                         pass: 0,
                         reading: Reading::Head,
@@ -97,7 +97,7 @@
     /// Serves in the phases in which connections are taken here, then finishes what is open. The own descriptor is
     /// closed, and no more: others may go on with the socket.
     pub async fn serve(self, routes: Router) {
-        let mut phases = self.lines.phases();
+        let mut phases = self.connections.phases();
         let socket = self.socket;
         let _ = phases.wait_for(|phase| phase.takes(socket) || *phase >= Phase::Draining).await;
         let mut open = JoinSet::new();
@@ -147,37 +147,37 @@
 
 /// Serves one connection until it ends, is idle or late for too long, or has to go.
 async fn serve(gate: Gate, routes: Router) {
-    let line = gate.line.clone();
+    let connection = gate.connection.clone();
     let stream = gate.stream.clone();
     let mut hung_up = pin!(hung_up(stream.clone()));
     let mut gone = false;
-    let service = service_fn(|request| answer(request, routes.clone(), line.clone()));
-    let mut connection = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
+    let service = service_fn(|request| answer(request, routes.clone(), connection.clone()));
+    let mut http = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
     loop {
-        let ends = line.ends();
+        let ends = connection.ends();
         if ends.is_some_and(|at| at <= Instant::now()) {
-            if !line.overdue() {
+            if !connection.overdue() {
                 return;
             }
             // The gate looks once more for a request that has just come, and ends the connection if there is none.
-            let ended = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await;
-            if ended || line.evicted() {
+            let ended = poll_fn(|cx| Poll::Ready(http.as_mut().poll(cx).is_ready())).await;
+            if ended || connection.evicted() {
                 return;
             }
             continue;
         }
         // hyper looks for the client's end only while it has nothing more to read, so a further request hides it.
         let ended = poll_fn(|cx| {
-            let was_busy = line.is_busy();
-            let ended = connection.as_mut().poll(cx).is_ready();
+            let was_busy = connection.is_busy();
+            let ended = http.as_mut().poll(cx).is_ready();
             // A request that has just been read is still on its way to the module, so this is in time for it.
             gone = gone || hung_up.as_mut().poll(cx).is_ready();
-            gone = gone || !was_busy && line.is_busy() && has_hung_up(&stream);
-            if ended || gone && line.is_busy() { Poll::Ready(()) } else { Poll::Pending }
+            gone = gone || !was_busy && connection.is_busy() && has_hung_up(&stream);
+            if ended || gone && connection.is_busy() { Poll::Ready(()) } else { Poll::Pending }
         });
         tokio::select! {
             () = ended => return,
-            () = line.stirred.notified() => {}
+            () = connection.stirred.notified() => {}
             () = crate::transport::clock::sleep_until(ends) => {}
         }
     }
@@ -232,11 +232,11 @@
 async fn answer(
     request: Request<Incoming>,
     mut routes: Router,
-    line: Arc<Line>,
+    connection: Arc<Connection>,
 ) -> Result<Response<Answer>, Infallible> {
     let mut request = request.map(Body::new);
-    request.extensions_mut().insert(WholeBy(line.open()));
-    let busy = Busy(line);
+    request.extensions_mut().insert(WholeBy(connection.open()));
+    let busy = Busy(connection);
     let mut last = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = routes.call(request).await?;
     last |= [StatusCode::REQUEST_TIMEOUT, StatusCode::PAYLOAD_TOO_LARGE].contains(&response.status());
@@ -249,7 +249,7 @@
 }
 
 /// Marks a connection as busy until the answer is made or given up.
-struct Busy(Arc<Line>);
+struct Busy(Arc<Connection>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
@@ -295,7 +295,7 @@
 struct Gate {
     /// Shared with whoever waits for the client's end.
     stream: Arc<TcpStream>,
-    line: Arc<Line>,
+    connection: Arc<Connection>,
     held: BytesMut,
     /// So much of what is held may pass.
     pass: usize,
@@ -330,7 +330,7 @@
         self.held.advance(most);
         self.pass -= most;
         if most > 0 && self.pass == 0 && matches!(self.reading, Reading::Head) {
-            self.line.ahead(!self.held.is_empty());
+            self.connection.ahead(!self.held.is_empty());
         }
         most > 0
     }
@@ -353,7 +353,7 @@
             match gate.reading {
                 Reading::Head => {
                     if !gate.held.is_empty() {
-                        gate.line.arriving();
+                        gate.connection.arriving();
                         gate.look();
                         if gate.pass > 0 {
                             continue;
@@ -361,7 +361,7 @@
                     }
                     let mut space = [0; READ];
                     let mut part = ReadBuf::new(&mut space);
-                    if gate.held.is_empty() && gate.line.evicted() {
+                    if gate.held.is_empty() && gate.connection.evicted() {
                         // Past what the runtime has heard of: it may have come since. Anything else is the end.
                         let came =
                             (&*SockRef::from(&*gate.stream)).read(part.initialize_unfilled()).unwrap_or(0);
@@ -422,7 +422,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.line.flushed();
+        self.connection.flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/src/transport/front/mod.rs
+++ b/src/transport/front/mod.rs
@@ -1,6 +1,6 @@
 //! What clients reach: the listener and the gate before their connections, and a handler for each protocol.
 
-pub mod line;
+pub mod connection;
 pub mod listener;
 pub mod operators;
 pub mod platform;
--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -23,7 +23,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tower::Service;
 
-use super::line::Lines;
+use super::connection::Connections;
 use super::listener::linger;
 use crate::protocol::figures;
 use crate::recovery::{Call, Phase};
@@ -42,7 +42,7 @@
 #[derive(Clone)]
 pub struct Operators {
     /// The clients' connections, and what the phases mean for them.
-    pub lines: Lines,
+    pub connections: Connections,
     /// Who counts.
     pub hub: Hub,
 }
@@ -58,7 +58,7 @@
 }
 
 async fn health(State(operators): State<Operators>) -> Response {
-    let phase = *operators.lines.phases().borrow();
+    let phase = *operators.connections.phases().borrow();
     let (status, text) = match phase {
         Phase::Serving => (StatusCode::OK, "yes\n"),
         Phase::Away => (StatusCode::OK, "yes; clients are sent away, POST /healthcheck/ok takes them back\n"),
@@ -79,7 +79,7 @@
 }
 
 fn follow(operators: &Operators, call: Call, done: &'static str) -> Response {
-    match operators.lines.call(call) {
+    match operators.connections.call(call) {
         Ok(()) => (StatusCode::OK, done).into_response(),
         Err(error) => (StatusCode::CONFLICT, format!("no: {error}\n")).into_response(),
     }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use milletseam::interface::Micros;
-use milletseam::recovery::{Call, Drain, Input, LineId, Output, Phase, Socket};
+use milletseam::recovery::{Call, ConnectionId, Drain, Input, Output, Phase, Socket};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
@@ -12,14 +12,14 @@
 struct Stand {
     drain: Drain,
     now: Micros,
-    lines: BTreeMap<LineId, Line>,
+    connections: BTreeMap<ConnectionId, Connection>,
     entered: Vec<Phase>,
     away_since: Option<Micros>,
     ending_since: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Line {
+enum Connection {
     Fresh(Micros),
     Rests,
     Busy,
@@ -27,8 +27,15 @@
 
 impl Stand {
     fn new(socket: Socket) -> Self {
-        let (drain, lines) = (Drain::new(socket), BTreeMap::new());
-        Stand { drain, now: 1_000_000, lines, entered: Vec::new(), away_since: None, ending_since: None }
+        let (drain, connections) = (Drain::new(socket), BTreeMap::new());
+        Stand {
+            drain,
+            now: 1_000_000,
+            connections,
+            entered: Vec::new(),
+            away_since: None,
+            ending_since: None,
+        }
     }
 
     fn serving(socket: Socket) -> Self {
@@ -37,7 +44,7 @@
         stand
     }
 
-    fn carry_out(&mut self, out: Vec<Output>) -> Vec<LineId> {
+    fn carry_out(&mut self, out: Vec<Output>) -> Vec<ConnectionId> {
         let mut closed = Vec::new();
         for output in out {
             match output {
@@ -55,12 +62,12 @@
                 }
                 Output::Close(id) => {
                     assert!(self.drain.phase().sends_off(), "invariant: nobody is parted with in service");
-                    let line = self.lines.remove(&id);
+                    let connection = self.connections.remove(&id);
                     assert!(
-                        matches!(line, Some(Line::Fresh(_) | Line::Rests)),
-                        "invariant: a connection is closed once, and never under a request: {line:?}"
+                        matches!(connection, Some(Connection::Fresh(_) | Connection::Rests)),
+                        "invariant: a connection is closed once, and never under a request: {connection:?}"
                     );
-                    if let Some(Line::Fresh(since)) = line {
+                    if let Some(Connection::Fresh(since)) = connection {
                         assert!(self.now >= since + 100 * MS, "invariant: a newcomer gets its moment");
                     }
                     closed.push(id);
@@ -70,7 +77,7 @@
         closed
     }
 
-    fn feed(&mut self, input: Input) -> Vec<LineId> {
+    fn feed(&mut self, input: Input) -> Vec<ConnectionId> {
         let mut out = Vec::new();
         self.drain.handle(self.now, input, &mut out);
         self.carry_out(out)
@@ -84,33 +91,33 @@
     }
 
     fn open(&mut self, id: u64) {
-        self.lines.insert(LineId(id), Line::Fresh(self.now));
-        self.feed(Input::Opened(LineId(id)));
+        self.connections.insert(ConnectionId(id), Connection::Fresh(self.now));
+        self.feed(Input::Opened(ConnectionId(id)));
     }
 
     fn ask(&mut self, id: u64) {
-        if let Some(line) = self.lines.get_mut(&LineId(id)) {
-            *line = Line::Busy;
-            self.feed(Input::Asked(LineId(id)));
+        if let Some(connection) = self.connections.get_mut(&ConnectionId(id)) {
+            *connection = Connection::Busy;
+            self.feed(Input::Asked(ConnectionId(id)));
         }
     }
 
     /// The answer is written; where it was the last one its owner ends the connection.
     fn answer(&mut self, id: u64, last: bool) {
-        if self.lines.get(&LineId(id)) != Some(&Line::Busy) {
+        if self.connections.get(&ConnectionId(id)) != Some(&Connection::Busy) {
             return;
         }
         if last && self.drain.phase().sends_off() {
-            self.lines.remove(&LineId(id));
-            self.feed(Input::Ended(LineId(id)));
+            self.connections.remove(&ConnectionId(id));
+            self.feed(Input::Ended(ConnectionId(id)));
         } else {
-            self.lines.insert(LineId(id), Line::Rests);
-            self.feed(Input::Answered(LineId(id)));
+            self.connections.insert(ConnectionId(id), Connection::Rests);
+            self.feed(Input::Answered(ConnectionId(id)));
         }
     }
 
     /// Lets time pass, at each time that is due.
-    fn pass(&mut self, span: Micros) -> Vec<(Micros, LineId)> {
+    fn pass(&mut self, span: Micros) -> Vec<(Micros, ConnectionId)> {
         let (until, mut closed) = (self.now + span, Vec::new());
         loop {
             let due = self.drain.next_due().filter(|due| *due <= until);
@@ -126,7 +133,8 @@
     }
 
     fn audit(&self) {
-        let resting = self.lines.values().filter(|line| **line == Line::Rests).count();
+        let resting =
+            self.connections.values().filter(|connection| **connection == Connection::Rests).count();
         if self.away_since.is_some_and(|since| self.now >= since + 1_800 * MS) {
             assert_eq!(resting, 0, "invariant: nobody rests 1.8 s after the call");
         }
@@ -149,14 +157,14 @@
     }
     stand.answer(1, true);
     stand.pass(3_000 * MS);
-    assert_eq!(stand.lines.len(), 4, "nobody is closed in service");
+    assert_eq!(stand.connections.len(), 4, "nobody is closed in service");
     let called = stand.now;
     assert!(stand.call(Call::Away));
     assert_eq!(stand.pass(399 * MS), []);
     let closed = stand.pass(MS);
     assert_eq!(
         closed,
-        [(called + 400 * MS, LineId(0)), (called + 400 * MS, LineId(1))],
+        [(called + 400 * MS, ConnectionId(0)), (called + 400 * MS, ConnectionId(1))],
         "who rested for long"
     );
     stand.pass(1_000 * MS);
@@ -165,9 +173,9 @@
     assert_eq!(stand.pass(199 * MS), []);
     assert_eq!(stand.pass(MS).len(), 1, "a client that has just been answered may be about to ask again");
     stand.pass(1_000 * MS);
-    assert_eq!(stand.lines[&LineId(3)], Line::Busy, "a long answer goes on");
+    assert_eq!(stand.connections[&ConnectionId(3)], Connection::Busy, "a long answer goes on");
     stand.answer(3, false);
-    assert_eq!(stand.pass(0).len() + stand.lines.len(), 0, "beyond the term nobody rests at all");
+    assert_eq!(stand.pass(0).len() + stand.connections.len(), 0, "beyond the term nobody rests at all");
 }
 
 /// Failure: a drain that is called off goes on closing connections, or a second call gives it more time.
@@ -190,7 +198,7 @@
     stand.open(2);
     assert!(stand.call(Call::Back));
     stand.pass(5_000 * MS);
-    assert_eq!(stand.lines.len(), 1, "it was called off");
+    assert_eq!(stand.connections.len(), 1, "it was called off");
     stand.feed(Input::Terminate);
     assert!(stand.call(Call::Away), "they are sent away all the same");
     assert!(!stand.call(Call::Back), "there is no way back");
@@ -212,7 +220,7 @@
     stand.open(2);
     stand.feed(Input::Terminate);
     assert!(!stand.drain.phase().takes(Socket::Shared));
-    assert!(!stand.lines.contains_key(&LineId(1)), "it had rested");
+    assert!(!stand.connections.contains_key(&ConnectionId(1)), "it had rested");
     assert_eq!(stand.pass(100 * MS).len(), 1, "its first request may have been on the way");
     assert!(Phase::Draining.takes(Socket::Own), "behind an own one nobody else stands");
 }
@@ -253,13 +261,13 @@
         let mut stand = Stand::new(if shared { Socket::Shared } else { Socket::Own });
         for step in steps {
             match step {
-                Step::Open(id) if !stand.lines.contains_key(&LineId(id)) => stand.open(id),
+                Step::Open(id) if !stand.connections.contains_key(&ConnectionId(id)) => stand.open(id),
                 Step::Open(_) => {}
                 Step::Ask(id) => stand.ask(id),
                 Step::Answer(id, last) => stand.answer(id, last),
                 Step::Hangup(id) => {
-                    if stand.lines.remove(&LineId(id)).is_some() {
-                        stand.feed(Input::Ended(LineId(id)));
+                    if stand.connections.remove(&ConnectionId(id)).is_some() {
+                        stand.feed(Input::Ended(ConnectionId(id)));
                     }
                 }
                 Step::Pass(span) => drop(stand.pass(span)),
@@ -275,7 +283,7 @@
         // With nothing new all resting ones go, and the term ends.
         stand.feed(Input::Terminate);
         stand.pass(3_000 * MS);
-        prop_assert!(stand.lines.values().all(|line| *line == Line::Busy));
+        prop_assert!(stand.connections.values().all(|connection| *connection == Connection::Busy));
         prop_assert_eq!(stand.drain.phase(), Phase::Closing);
         prop_assert_eq!(stand.drain.next_due(), None);
     }
