Call the release of what is held so: LetGo becomes Release

The core's and the peers' messages and the log's 'let go' keep the older word until they are touched: others work on them now, and operators know the log's. No change of behaviour.

--- a/src/recovery/let_go.rs
+++ b/src/recovery/release.rs
@@ -1,4 +1,4 @@
-//! Letting go of what servers hold for a request. Any server that runs takes the call and lets go of everything for
+//! The release of what servers hold for a request. Any server that runs takes the call and lets go of everything for
 //! it, so that one is enough; a silent one tells nothing, and time runs on.
 //!
 //! Invariants, for any number of silent servers: all servers have been asked within the time given, unless one has
@@ -14,7 +14,7 @@
 const LEAST_PAUSE: Micros = 1_000;
 
 /// One request's calls.
-pub struct LetGo {
+pub struct Release {
     order: Vec<ServerId>,
     /// How many of them were asked in this round.
     asked: usize,
@@ -28,12 +28,12 @@
     done: bool,
 }
 
-impl LetGo {
+impl Release {
     /// Calls to these servers, the likeliest holders first; the last is asked within the given time.
     pub fn new(now: Micros, order: Vec<ServerId>, within: Micros) -> Self {
         let (due, done) = ((!order.is_empty()).then_some(now), order.is_empty());
         let pause = within.max(LEAST_PAUSE);
-        LetGo { order, asked: 0, out: 0, within, pause, due, until: now + FREED, done }
+        Release { order, asked: 0, out: 0, within, pause, due, until: now + FREED, done }
     }
 
     /// Somebody has taken the call, or nobody will.
@@ -41,7 +41,7 @@
         self.done
     }
 
-    /// When [`LetGo::tick`] is next due.
+    /// When [`Release::tick`] is next due.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.filter(|_| !self.done)
     }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -8,7 +8,7 @@
 use super::tries::{Attempt, Tries};
 use crate::choice::Router;
 use crate::interface::*;
-use crate::recovery::LetGo;
+use crate::recovery::Release;
 
 /// A read that did not end cleanly may still have left a state: it is let go once more after this, when the
 /// server has surely seen its connection close (a guess)...
@@ -137,7 +137,7 @@
     over: bool,
     /// When what a read may have left is let go of once more.
     again: Option<Micros>,
-    letting_go: Option<LetGo>,
+    letting_go: Option<Release>,
 }
 
 impl Open {
@@ -565,14 +565,14 @@
         others.sort_by_key(|server| Reverse(pool.heard.get(server)));
         order.extend(others);
         let rules = pool.settings.rules;
-        open.letting_go = Some(LetGo::new(now, order, rules.release_within - rules.held_for()));
+        open.letting_go = Some(Release::new(now, order, rules.release_within - rules.held_for()));
         self.ask_to_let_go(id, |let_go, ask| let_go.tick(now, ask), out);
     }
 
     fn ask_to_let_go(
         &mut self,
         id: RequestId,
-        step: impl FnOnce(&mut LetGo, &mut Vec<ServerId>),
+        step: impl FnOnce(&mut Release, &mut Vec<ServerId>),
         out: &mut Vec<Output>,
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -2,7 +2,7 @@
 
 use milletseam::interface::{Micros, ServerId};
 use milletseam::recovery::{
-    LetGo, ListCall as Call, ListEnded as Ended, ListInput as Input, ListPhase as Phase, Pacing, Times,
+    ListCall as Call, ListEnded as Ended, ListInput as Input, ListPhase as Phase, Pacing, Release, Times,
 };
 use proptest::prelude::*;
 
@@ -314,18 +314,18 @@
 /// the first ones are silent, or refuse.
 fn until_taken(servers: u32, useless: u32, refuse: bool, within: Micros) -> (Micros, u32) {
     let order: Vec<ServerId> = (0..servers).map(ServerId).collect();
-    let (mut let_go, mut now, mut ask, mut asked) = (LetGo::new(0, order, within), 0, Vec::new(), 0);
+    let (mut release, mut now, mut ask, mut asked) = (Release::new(0, order, within), 0, Vec::new(), 0);
     loop {
-        let_go.tick(now, &mut ask);
+        release.tick(now, &mut ask);
         while let Some(server) = (!ask.is_empty()).then(|| ask.remove(0)) {
             asked += 1;
             if server.0 >= useless {
                 return (now, asked);
             } else if refuse {
-                let_go.ended(now, false, &mut ask);
+                release.ended(now, false, &mut ask);
             }
         }
-        now = let_go.next_due().expect("somebody is left");
+        now = release.next_due().expect("somebody is left");
     }
 }
 
@@ -345,12 +345,12 @@
 #[test]
 fn where_nobody_takes_the_call_it_is_repeated_ever_less_and_ends() {
     let order: Vec<ServerId> = (0..10).map(ServerId).collect();
-    let (mut let_go, mut now, mut ask) = (LetGo::new(0, order, 75 * MS), 0, Vec::new());
-    let_go.tick(now, &mut ask);
-    while let Some(due) = let_go.next_due() {
+    let (mut release, mut now, mut ask) = (Release::new(0, order, 75 * MS), 0, Vec::new());
+    release.tick(now, &mut ask);
+    while let Some(due) = release.next_due() {
         now = due;
-        let_go.tick(now, &mut ask);
+        release.tick(now, &mut ask);
     }
-    assert!(let_go.done() && now >= 5_000 * MS, "{now}");
+    assert!(release.done() && now >= 5_000 * MS, "{now}");
     assert!((30..100).contains(&ask.len()), "{} calls", ask.len());
 }
