--- a/src/recovery/let_go.rs
+++ b/src/recovery/release.rs
@@ -1,4 +1,4 @@
-//! Letting go of what servers hold for a request. Any server that runs takes the call and lets go of everything for
+//! The release of what servers hold for a request. Any server that runs takes the call and lets go of everything for
 //! it, so that one is enough; a silent one tells nothing, and time runs on.
 //!
 //! Invariants, for any number of silent servers: all servers have been asked within the time given, unless one has
@@ -9,9 +9,12 @@
 /// Where nobody has taken the call, servers free what is held by themselves after some seconds (a guess: the platform
 /// tells no figure).
 const FREED: Micros = 5_000_000;
+/// Between two rounds there is a pause, also where the settings leave no time at all: else one turn would ask without
+/// end (a guess; a call takes about as long).
+const LEAST_PAUSE: Micros = 1_000;
 
 /// One request's calls.
-pub struct LetGo {
+pub struct Release {
     order: Vec<ServerId>,
     /// How many of them were asked in this round.
     asked: usize,
@@ -25,11 +28,12 @@
     done: bool,
 }
 
-impl LetGo {
+impl Release {
     /// Calls to these servers, the likeliest holders first; the last is asked within the given time.
     pub fn new(now: Micros, order: Vec<ServerId>, within: Micros) -> Self {
         let (due, done) = ((!order.is_empty()).then_some(now), order.is_empty());
-        LetGo { order, asked: 0, out: 0, within, pause: within, due, until: now + FREED, done }
+        let pause = within.max(LEAST_PAUSE);
+        Release { order, asked: 0, out: 0, within, pause, due, until: now + FREED, done }
     }
 
     /// Somebody has taken the call, or nobody will.
@@ -37,7 +41,7 @@
         self.done
     }
 
-    /// When [`LetGo::tick`] is next due.
+    /// When [`Release::tick`] is next due.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.filter(|_| !self.done)
     }
