--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,26 +4,31 @@
 //! The rule: a prompt goes to the ready reader with the lowest weight x missing tokens + pending load; after
 //! the read, a writer with room in that reader's cell fetches the state and answers.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::interface::*;
-use crate::pace::{PACE_HALF_LIFE, Pace};
-use crate::roster::{Look, Roster, even_lot};
+use crate::pace::{PACE_HALF_LIFE, Pace, Shares};
+use crate::roster::{Look, Roster, even_lot, lot};
 use crate::slow_start::{Draw, SlowStart, warmth};
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
 const OVERLAP_WEIGHT: f64 = 4.0;
 /// A table entry that is not used for this long is dropped: the reader may have let its tokens go.
 const KEPT_FOR: Micros = 30_000_000;
-/// Readers at which peers are presumed to keep a prefix: one alone would be jammed by a much used one.
+/// Part of a reader's time that one prefix may take, by the demand seen here, before it gets another place:
+/// two that meet at one reader leave it half.
+const PLACE_PART: f64 = 0.25;
+/// A prefix's part of what comes is measured against so many requests more (a guess): a few prove little.
+const DEMAND_PRIOR: f64 = 20.0;
+/// Readers at which few dispatchers presume a prefix, by falling chance.
 const HOMES: f64 = 3.0;
 /// Dispatchers are many if there are more than this many to a reader.
 const MANY: f64 = 2.0;
-/// A report stays the same for a while, and all who see a reader empty send there: until the next one, up
-/// to this many times its even part of what all dispatchers have to send.
+/// All who see a reader empty send there until its next report: up to this many times its even part.
 const HERD: f64 = 3.0;
 /// A writer whose memory share is under this has room.
 const ROOM: f64 = 0.9;
@@ -81,8 +86,7 @@
 const COLD_PART: f64 = 0.5;
 /// Advice to a client turned away for want of capacity: the answer comes at once, its next try later.
 const RETRY_AFTER: Micros = 1_000_000;
-/// Pause before a request that found no server looks again, or its client if the attempts are used up: other
-/// dispatchers may be let in.
+/// Pause before a request that found no server looks again, or its client if the attempts are used up.
 const LOOK_AGAIN: Micros = 50_000;
 /// Averages and old entries are seen to this often.
 const HOUSEKEEPING: Micros = 200_000;
@@ -95,8 +99,7 @@
 /// ... and the choice waits for this part of the shortest aim.
 const ASK_WAIT: f64 = 0.015;
 
-/// Up to so many servers of a role a choice looks at all, beyond that at those that keep the text and at some
-/// by lot: the best of many is little better than the best of some (measured: docs/design/watched-files.md).
+/// A choice looks at all of so many servers of a role, beyond that at keepers and some by lot (watched-files.md).
 const LOOK_AT: Look = Look { all: 128, some: 24 };
 
 /// What a table entry stands for.
@@ -160,6 +163,7 @@
     over: bool, // the final answer is given or no longer owed
     avoid: Option<ServerId>,
     asked: bool,        // candidates were asked for reports before the next choice
+    kept: u64,          // prompt tokens presumed at the reader that is ranked first
     lot: u64,           // settles of which cold servers' share it is,
     draw: Option<Draw>, // and how large that is, once drawn for the next choice
 }
@@ -206,7 +210,7 @@
     readers: Fleet,
     writers: Fleet,
     slow_starts: [SlowStart; 2], // of readers, and of others
-    near_readers: f64,           // those of the own zone
+    demand: Shares<Key>,
     offered: Pace, // tokens to be read for the requests that came, taken or not, and their count as seconds
     first_tokens: Pace,
     tenants: Vec<Pace>,
@@ -235,7 +239,7 @@
             timers: 0,
             readers: Fleet { pace: FIRST_PACE, ..Fleet::default() },
             writers: Fleet { pace: FIRST_PACE, ..Fleet::default() },
-            near_readers: 0.0,
+            demand: Shares::new(now),
             offered: none,
             first_tokens: Pace::default(),
             looked: None,
@@ -285,6 +289,7 @@
         if let Some(tenant) = request.tenant.and_then(|t| self.tenants.get_mut(usize::from(t.0))) {
             tenant.add(now, 1.0, 0);
         }
+        self.demand.add(now, keys(&request).map(|(key, _)| key));
         let id = request.id;
         let last = request.expires.saturating_sub(self.settings.step);
         self.wake(last.max(now), Wake::Deadline(id), out);
@@ -308,6 +313,7 @@
         let left = self.settings.limits.attempts.saturating_sub(open.attempts.len() as u32);
         // It may have run and must not run again: its client hears so now, not when its aim has passed.
         let unsafe_class = self.class(&open.request).effect == Effect::Unsafe;
+        let late = now > open.came + self.class(&open.request).aim; // its client hears it now
         let spent = unsafe_class && open.attempts.iter().any(|a| a.may_have_run);
         if left == 0 || spent || now + self.settings.step >= open.request.expires {
             return self.give_up(id, LOOK_AGAIN, out);
@@ -329,13 +335,9 @@
             return;
         }
         match ranked.first().copied() {
-            Some(reader) if new && self.hopeless(now, id, reader) => {
-                return self.give_up(id, RETRY_AFTER, out);
-            }
+            Some(to) if new && self.hopeless(now, id, to) => return self.give_up(id, RETRY_AFTER, out),
             Some(server) => return self.send(now, id, server, out),
-            None if new && (left < 2 || self.too_late(now, id)) => {
-                return self.give_up(id, RETRY_AFTER, out);
-            }
+            None if new && (left < 2 || late) => return self.give_up(id, RETRY_AFTER, out),
             None => {}
         }
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -343,11 +345,6 @@
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
-    /// No server was found within the aim: the client hears it now, not at its deadline.
-    fn too_late(&self, now: Micros, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|open| now > open.came + self.class(&open.request).aim)
-    }
-
     /// Asks the best candidates for reports before the choice among them, once for each choice. One of
     /// hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
     fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
@@ -423,8 +420,7 @@
         let longer = class.aim_per_1000_tokens.saturating_mul(open.request.prompt_tokens) / 1000;
         let aim = class.aim.saturating_add(longer).min(open.request.expires.saturating_sub(now));
         let queue = self.load(now, server, 0.0) / self.pace(now, server) + wait;
-        let kept = self.presumed(now, server, &open.request, self.strange(&open.request));
-        let (missing, pace) = ((open.request.prompt_tokens - kept) as f64, self.pace(now, server));
+        let (missing, pace) = ((open.request.prompt_tokens - open.kept) as f64, self.pace(now, server));
         let crowded = self.load(now, server, chance * HERD * self.peers_rate()) / pace + wait;
         let hopeless = crowded > self.bound(&open.request) || queue + missing / pace > aim as f64 / 1e6;
         self.offered.add(now, missing, 1_000_000);
@@ -456,14 +452,14 @@
     // ---- the reader
 
     /// The usable readers by cost, with mixed servers within their share; writers only if none is listed.
-    /// Where dispatchers are many, those that are no place of this session or prefix come last: all would
-    /// send to the one that looks empty, and sessions move with every wave. May hurt in uneven fleets.
+    /// Where dispatchers are many, those that are no place for it come last: all would send to the one that
+    /// looks empty, and what is kept moves with every wave. May hurt in uneven fleets.
     fn rank_readers(&mut self, now: Micros, id: RequestId, two_left: bool) -> Vec<ServerId> {
         let Some(open) = self.requests.get(&id) else { return Vec::new() };
-        let (strange, thin) = (self.strange(&open.request), self.thin());
+        let (request, thin) = (&open.request, self.thin());
         let writers_read = self.settings.limits.writers_read && self.readers.count <= 0.0;
-        let (mut found, mut home, share) = (Vec::new(), None, ROOM.min(self.writers.memory + MIXED_LEAD));
-        for sid in self.roster.readers(&mut self.rng, keys(&open.request).map(|(key, _)| key), LOOK_AT) {
+        let (mut usable, share) = (Vec::new(), ROOM.min(self.writers.memory + MIXED_LEAD));
+        for sid in self.roster.readers(&mut self.rng, keys(request).map(|(key, _)| key), LOOK_AT) {
             let Some(server) = self.servers.get(&sid) else { continue };
             let unfit = match server.role {
                 Role::Reader => (!two_left).then_some(Barred::LastAttempt),
@@ -471,54 +467,75 @@
                 _ => (self.memory_share(now, server) >= share).then_some(Barred::Memory),
             };
             let barred = unfit.or_else(|| self.barred(now, server, open, false));
+            usable.push((server, barred, self.unwilling(now, server, open)));
+        }
+        let fit = usable.iter().filter(|(_, barred, last)| thin && barred.is_none() && last.is_none());
+        let reads = |s: &&Server| s.role == Role::Reader || self.readers.count <= 0.0;
+        let places = self.places(open, fit.map(|(s, ..)| *s).filter(reads).collect());
+        let (mut found, mut presumed) = (Vec::new(), BTreeMap::new());
+        for (server, barred, unwilling) in usable {
+            let (sid, place) = (server.entry.id, places.get(&server.entry.id).copied());
+            let place = if thin { place } else { self.homely(request, server) };
             let far = f64::from(server.entry.zone != self.settings.zone);
-            let price = far * self.settings.prices.cross_zone * self.class(&open.request).aim as f64 / 1e6;
+            let price = far * self.settings.prices.cross_zone * self.class(request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
-            let missing = open.request.prompt_tokens - self.presumed(now, server, &open.request, strange);
+            let own = promised(now, server, request);
+            let kept = own.max(place.unwrap_or(0)).min(request.prompt_tokens);
+            let missing = request.prompt_tokens - kept;
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
-            let unwilling = self.unwilling(now, server, open);
-            let kept = promised(now, server, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
-            let class = u8::from(thin && !kept && !cold);
+            let jammed = load / pace > self.bound(request); // no better than any other
+            let class = u8::from(thin && !cold && (jammed || own == 0 && place.is_none()));
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Read { missing, load, pace, price, cost };
                 looked.push(Candidate { server: sid, barred, last_resort: unwilling, class, cost });
             }
-            if barred.is_some() {
-                continue;
-            }
-            let unwilling = unwilling.is_some();
-            let place =
-                far - open.request.session.map_or_else(|| self.rng.random(), |key| lot(key.0, server));
-            if home.is_none_or(|(u, p, _)| (unwilling, place) < (u, p)) {
-                home = Some((unwilling, place, found.len()));
+            if barred.is_none() {
+                let chance = (self.rng.random(), server.weight);
+                found.push((unwilling.is_some(), class, cost, chance, sid));
+                presumed.insert(sid, kept);
             }
-            let chance = (self.rng.random(), server.weight);
-            found.push((unwilling, class, cost, chance, sid));
-        }
-        if let Some((_, _, at)) = home {
-            found[at].1 = 0;
         }
-        ranked(found)
+        let ranked = ranked(found);
+        let kept = ranked.first().map_or(0, |first| presumed[first]);
+        self.requests.entry(id).and_modify(|open| open.kept = kept);
+        ranked
     }
 
-    /// Prompt tokens that the server may keep for the request: by the table, or by what peers may have sent.
-    /// All presume the same homes of a prefix, drawn by lot, and, by falling chance, the same places of a
-    /// session in its client's zone: each of hundreds of dispatchers sees too little to meet either twice.
-    fn presumed(&self, now: Micros, server: &Server, request: &Request, strange: bool) -> u64 {
-        let near = server.entry.zone == self.settings.zone && server.role == Role::Reader;
-        let own = match request.session.filter(|_| strange && near) {
-            Some(key) => request.prompt_tokens as f64 * is_home(key.0, server, 1.0, self.near_readers),
-            None => 0.0,
-        };
-        let shared = request.prefix_tokens as f64 * self.homely(request, server);
-        promised(now, server, request).max(own.max(shared) as u64).min(request.prompt_tokens)
+    /// The readers to which all dispatchers send what begins like this, with its tokens presumed there, by
+    /// rendezvous hashing over those that are fit: nothing is said between them, and each sees too little to
+    /// meet a prefix or a session twice. As many as the prefix's part of the demand fills: one of all readers
+    /// if little, else near ones, of which each session has its own. One more takes what overflows.
+    fn places(&self, open: &Open, mut order: Vec<&Server>) -> BTreeMap<ServerId, u64> {
+        let lot = |key, server: &Server| lot(key, server.entry.id, server.weight);
+        let (request, zone, prefix) = (&open.request, self.settings.zone, open.request.prefix);
+        let key = prefix.map(|key| key.0).or(request.session.map(|key| key.0)).unwrap_or(open.lot);
+        order.sort_by_cached_key(|s| Reverse(lot(key, s).to_bits()));
+        let first = order.first().copied().filter(|_| prefix.is_some());
+        let near = order.iter().filter(|s| s.entry.zone == zone).count().max(1);
+        let filled = |key| self.demand.part(&key, DEMAND_PRIOR) * near as f64 / PLACE_PART;
+        let filled_by = keys(request).map(|(key, _)| filled(key) as usize).max().unwrap_or(0);
+        let many = near.min(1 + filled_by);
+        let anywhere = many == 1 && prefix.is_some();
+        order.sort_by_key(|s| !anywhere && s.entry.zone != zone);
+        let homes = &order[..many.min(order.len())];
+        let tokens = prefix.map_or(0, |_| request.prefix_tokens);
+        let shared = homes.iter().copied().chain(first).map(|s| (s.entry.id, tokens));
+        let spare = order.get(many).filter(|_| prefix.is_some()).map(|s| (s.entry.id, 0));
+        // A session has its own home, unless it was met already, or is more than one may take.
+        let met = |key| order.iter().any(|s| s.kept.contains_key(&key)) || filled(key) >= 1.0;
+        let own = request.session.filter(|key| !met(Key::Session(*key)));
+        let own = own.and_then(|key| homes.iter().max_by(|a, b| lot(key.0, a).total_cmp(&lot(key.0, b))));
+        let own = own.map(|s| (s.entry.id, request.prompt_tokens));
+        spare.into_iter().chain(shared).chain(own).collect() // the last that is said of a reader holds
     }
 
-    /// The chance that the reader is a home of the request's prefix.
-    fn homely(&self, request: &Request, server: &Server) -> f64 {
-        request.prefix.map_or(0.0, |key| is_home(key.0, server, HOMES, self.readers.count))
+    /// Few dispatchers choose by what each knows, among readers where peers may keep the prefix.
+    fn homely(&self, request: &Request, server: &Server) -> Option<u64> {
+        let even = lot(request.prefix?.0, server.entry.id, server.weight);
+        let chance = (HOMES / ((1.0 - even) * self.readers.count)).min(1.0);
+        Some((request.prefix_tokens as f64 * chance) as u64)
     }
 
     /// Dispatchers are many: each sees too little to know a reader or a session by its own sends.
@@ -526,13 +543,6 @@
         f64::from(self.settings.dispatchers) > MANY * self.readers.count
     }
 
-    /// Other dispatchers may have met the session; this one has not.
-    fn strange(&self, request: &Request) -> bool {
-        let Some(key) = request.session.map(Key::Session).filter(|_| self.thin()) else { return self.thin() };
-        let keeps = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.kept.contains_key(&key));
-        !self.roster.keepers(&key).iter().any(keeps)
-    }
-
     /// Prompt tokens that wait there: own unread ones, and what a report showed beyond them, less what can
     /// have been read since, and with what a crowd sent at so many tokens a second in the life of a report.
     fn load(&self, now: Micros, server: &Server, crowd: f64) -> f64 {
@@ -959,13 +969,14 @@
         }
         let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.contains_key(key));
         self.roster.forget(keeps);
+        self.demand.forget(now);
         self.average(now);
     }
 
     fn average(&mut self, now: Micros) {
         self.first_tokens.decay(now);
         self.writers.wait = (self.first_tokens.seconds + 0.1) / (self.first_tokens.work + 1.0);
-        let (mut near, mut least, mut work, mut seconds) = (0.0, f64::INFINITY, FIRST_PACE, 1.0);
+        let (mut least, mut work, mut seconds) = (f64::INFINITY, FIRST_PACE, 1.0);
         let mut sums = [(0.0, Fleet::default()); 2]; // heard, and the rest, of readers and others
         for (of, slow_start) in self.slow_starts.iter_mut().enumerate() {
             let servers = self.servers.values().filter(|s| usize::from(s.role != Role::Reader) == of);
@@ -981,7 +992,6 @@
             }
             fleet.count += 1.0;
             if reading {
-                near += f64::from(server.entry.zone == self.settings.zone);
                 let mut own = server.pace;
                 own.decay(now);
                 work += own.work;
@@ -990,7 +1000,6 @@
                 least = least.min(self.wait(now, None, server));
             }
         }
-        self.near_readers = near;
         self.writers.least = if least.is_finite() { least } else { self.writers.wait };
         for (reading, (heard, sum)) in [true, false].into_iter().zip(sums) {
             let fleet = if reading { &mut self.readers } else { &mut self.writers };
@@ -1031,24 +1040,11 @@
     session.into_iter().chain(prefix)
 }
 
-/// A number in [0, 1) that every dispatcher finds for this key at this server, the nearer to 1 the heavier.
-fn lot(key: u64, server: &Server) -> f64 {
-    let even = even_lot(key, server.entry.id);
-    if server.weight == 1.0 { even } else { even.powf(1.0 / server.weight) }
-}
-
-/// The chance that a server is one of a key's homes among so many, by its place in the key's order.
-fn is_home(key: u64, server: &Server, homes: f64, count: f64) -> f64 {
-    (homes / ((1.0 - lot(key, server)) * count)).min(1.0)
-}
-
 /// Prompt tokens that the table holds for the request.
 fn promised(now: Micros, server: &Server, request: &Request) -> u64 {
-    let fresh = |(key, most): (Key, u64)| {
-        let kept = server.kept.get(&key).filter(|kept| kept.used + KEPT_FOR > now)?;
-        Some(kept.tokens.min(most))
-    };
-    keys(request).filter_map(fresh).max().unwrap_or(0)
+    let kept = keys(request).filter_map(|(key, most)| Some((server.kept.get(&key)?, most)));
+    let fresh = kept.filter(|(kept, _)| kept.used + KEPT_FOR > now);
+    fresh.map(|(kept, most)| kept.tokens.min(most)).max().unwrap_or(0)
 }
 
 /// Notes that the server keeps the request's prompt, or will.
