--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,8 +96,12 @@
 const ASK_SPEND: f64 = 0.01;
 /// ... of those whose last report is no longer fresh, that is older than this...
 const FRESH: Micros = 300_000;
-/// ... and the choice waits for this part of the shortest aim.
+/// ... and the choice waits for this part of the shortest aim...
 const ASK_WAIT: f64 = 0.015;
+/// ... or, of a reader, for this: a report waits in the queue that it tells of, so who is not back is jammed...
+const ASK_WAIT_READER: f64 = 0.1;
+/// ... and others are asked, so many times at most.
+const ASK_ROUNDS: u32 = 3;
 
 /// A choice looks at all of so many servers of a role, beyond that at keepers and some by lot (watched-files.md).
 const LOOK_AT: Look = Look { all: 128, some: 24 };
@@ -139,6 +143,7 @@
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
     probed: Micros,
+    asking: Vec<RequestId>, // whose choice waits for its report
 }
 
 #[derive(Clone, Copy)]
@@ -162,7 +167,7 @@
     started: bool,
     over: bool, // the final answer is given or no longer owed
     avoid: Option<ServerId>,
-    asked: bool,        // candidates were asked for reports before the next choice
+    asked: u32,         // how often candidates were asked for reports before the next choice
     kept: u64,          // prompt tokens presumed at the reader that is ranked first
     lot: u64,           // settles of which cold servers' share it is,
     draw: Option<Draw>, // and how large that is, once drawn for the next choice
@@ -273,7 +278,9 @@
             Event::Ended(ended) => self.on_ended(now, ended, out),
             Event::Gone(id) => self.close(id, None, out),
             Event::Timer(_) => self.on_timer(now, out),
-            Event::Probed { server, outcome, report, .. } => self.on_probed(now, server, outcome, report),
+            Event::Probed { server, outcome, report, .. } => {
+                self.on_probed(now, server, outcome, report, out)
+            }
             Event::Place { .. } | Event::Peer { .. } => {}
         }
     }
@@ -331,7 +338,7 @@
             let (candidates, ranked) = (std::mem::take(looked), ranked.clone());
             out.push(Action::Explain(Box::new(Choice { request: id, reads: new, candidates, ranked })));
         }
-        if self.ask(now, id, &ranked, out) {
+        if self.ask(now, id, &ranked, new, out) {
             return;
         }
         match ranked.first().copied() {
@@ -345,25 +352,48 @@
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
-    /// Asks the best candidates for reports before the choice among them, once for each choice. One of
-    /// hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
-    fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
+    /// Asks the best candidates for reports before the choice among them, and of readers others if the best
+    /// stay silent. One of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
+    fn ask(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        ranked: &[ServerId],
+        reads: bool,
+        out: &mut Actions,
+    ) -> bool {
         let most = (ASK_SPEND / self.settings.prices.probe.max(1e-6)).min(ASK) as usize;
-        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.asked) else { return false };
-        if !self.settings.limits.probes || ranked.len() < 2 {
+        let wait = self.ask_wait(reads);
+        let Some(open) = self.requests.get_mut(&id) else { return false };
+        let Some(first) = ranked.first().and_then(|first| self.servers.get(first)) else { return false };
+        let fresh = |server: &Server| server.reported.is_some_and(|at| at + FRESH >= now);
+        let awaited =
+            |server: &Server| server.probed > server.reported.unwrap_or(0) && server.probed + wait > now;
+        if reads && open.asked > 0 && awaited(first) {
+            self.wake(first.probed + wait, Wake::Again(id), out);
+            return true;
+        }
+        let rounds = if reads { ASK_ROUNDS } else { 1 };
+        if !self.settings.limits.probes
+            || ranked.len() < 2
+            || open.asked >= rounds
+            || open.asked > 0 && fresh(first)
+        {
             return false;
         }
-        open.asked = true;
+        open.asked += 1;
         let mut any = false;
         for to in ranked.iter().take(most) {
-            let Some(server) = self.servers.get_mut(to) else { continue };
-            if server.reported.is_none_or(|at| at + FRESH < now) {
-                (any, server.probed) = (true, now);
+            let Some(server) = self.servers.get_mut(to).filter(|server| !fresh(server)) else { continue };
+            any = true;
+            server.asking.push(id);
+            if !awaited(server) {
+                server.probed = now;
                 out.push(Action::Probe(*to));
             }
         }
         if any {
-            self.wake(now + self.ask_wait(), Wake::Again(id), out);
+            self.wake(now + wait, Wake::Again(id), out);
         }
         any
     }
@@ -372,14 +402,18 @@
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64
     }
 
-    fn ask_wait(&self) -> Micros {
+    fn ask_wait(&self, reads: bool) -> Micros {
+        if reads {
+            return (ASK_WAIT_READER * self.shortest_aim()) as Micros;
+        }
         ((ASK_WAIT * self.shortest_aim()) as Micros).min(self.settings.rules.release_within / 4)
     }
 
     /// Why a candidate is of last resort: the request failed there, or its like was turned away as full, or
     /// it is in doubt and not due for a trial, answers with errors, or left a probe unanswered for too long.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> Option<LastResort> {
-        let silent = server.probed > server.reported.unwrap_or(0) && now >= server.probed + self.ask_wait();
+        let silent = server.probed > server.reported.unwrap_or(0)
+            && now >= server.probed + self.ask_wait(server.role == Role::Reader);
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
         let full =
             server.full.get(&(open.request.tenant, open.request.class)).is_some_and(|until| now < *until);
@@ -810,7 +844,7 @@
         self.hear(now, from, alive, ended.report);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(ended.attempt as usize).filter(|a| !a.ended) else { return };
-        (a.ended, open.asked, open.lot, open.draw) = (true, false, open.lot.wrapping_add(1), None);
+        (a.ended, open.asked, open.lot, open.draw) = (true, 0, open.lot.wrapping_add(1), None);
         a.may_have_run &= !ended.outcome.never_ran();
         self.slow_starts[0].bear(now, f64::from(ended.outcome == Outcome::Read));
         let begun = open.started;
@@ -1009,12 +1043,26 @@
         }
     }
 
-    fn on_probed(&mut self, now: Micros, from: ServerId, outcome: Outcome, report: Option<Report>) {
+    fn on_probed(
+        &mut self,
+        now: Micros,
+        from: ServerId,
+        outcome: Outcome,
+        report: Option<Report>,
+        out: &mut Actions,
+    ) {
         let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
         self.hear(now, from, false, report);
-        if let Some(server) = self.servers.get_mut(&from).filter(|_| told) {
+        let Some(server) = self.servers.get_mut(&from) else { return };
+        if told {
             server.probed = 0; // it has nothing to report yet, or hung up on the probe: that is no silence
         }
+        for id in std::mem::take(&mut server.asking) {
+            let waits = self.requests.get(&id).is_some_and(|open| open.asked > 0 && open.state.is_none());
+            if waits {
+                self.advance(now, id, out);
+            }
+        }
     }
 }
 
