--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,13 +11,14 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::interface::*;
+use crate::kept::{Kept, Key, keys};
 use crate::pace::{PACE_HALF_LIFE, Pace, Shares};
 use crate::roster::{Look, Roster, even_lot, lot};
 use crate::slow_start::{Draw, SlowStart, warmth};
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
 const OVERLAP_WEIGHT: f64 = 4.0;
-/// A table entry that is not used for this long is dropped: the reader may have let its tokens go.
+/// What a reader keeps is believed for so long after its last use: it may have let it go.
 const KEPT_FOR: Micros = 30_000_000;
 /// Part of a reader's time that one prefix may take, by the demand seen here, before it gets another place:
 /// two that meet at one reader leave it half.
@@ -106,26 +107,13 @@
 /// A choice looks at all of so many servers of a role, beyond that at keepers and some by lot (watched-files.md).
 const LOOK_AT: Look = Look { all: 128, some: 24 };
 
-/// What a table entry stands for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Key {
-    Session(SessionKey),
-    Prefix(PrefixKey),
-}
-
-/// Tokens believed to be kept at a reader, and when they were last used.
-struct Kept {
-    tokens: u64,
-    used: Micros,
-}
-
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
     role: Role,
     memory: f64,
     weight: f64, // its capacity against the mean of its role; 0 takes nothing new
-    kept: BTreeMap<Key, Kept>,
+    kept: Kept,
     unread: f64,               // own prompt tokens sent and not yet read
     others: f64,               // tokens beyond them that wait there by the last report
     since: Vec<(Micros, f64)>, // own streams that the last report can't hold yet: when, and the tokens
@@ -142,7 +130,8 @@
     broke: bool,  // nor since a connection broke
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
-    probed: Micros,
+    probed: Option<Micros>,
+    told: Option<Micros>, // when it last reported, or showed that it had nothing to report
     asking: Vec<RequestId>, // whose choice waits for its report
 }
 
@@ -279,7 +268,9 @@
             Event::Gone(id) => self.close(id, None, out),
             Event::Timer(_) => self.on_timer(now, out),
             Event::Probed { server, outcome, report, .. } => {
-                self.on_probed(now, server, outcome, report, out)
+                let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
+                self.hear(now, server, false, report);
+                self.on_probed(now, server, told, out);
             }
             Event::Place { .. } | Event::Peer { .. } => {}
         }
@@ -338,7 +329,7 @@
             let (candidates, ranked) = (std::mem::take(looked), ranked.clone());
             out.push(Action::Explain(Box::new(Choice { request: id, reads: new, candidates, ranked })));
         }
-        if self.ask(now, id, &ranked, new, out) {
+        if self.ask(now, id, &ranked, out) {
             return;
         }
         match ranked.first().copied() {
@@ -354,31 +345,20 @@
 
     /// Asks the best candidates for reports before the choice among them, and of readers others if the best
     /// stay silent. One of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
-    fn ask(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        ranked: &[ServerId],
-        reads: bool,
-        out: &mut Actions,
-    ) -> bool {
+    fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
+        let reads = self.requests.get(&id).is_some_and(|open| open.state.is_none());
         let most = (ASK_SPEND / self.settings.prices.probe.max(1e-6)).min(ASK) as usize;
-        let wait = self.ask_wait(reads);
+        let (wait, rounds) = (self.ask_wait(reads), if reads { ASK_ROUNDS } else { 1 });
         let Some(open) = self.requests.get_mut(&id) else { return false };
         let Some(first) = ranked.first().and_then(|first| self.servers.get(first)) else { return false };
-        let fresh = |server: &Server| server.reported.is_some_and(|at| at + FRESH >= now);
-        let awaited =
-            |server: &Server| server.probed > server.reported.unwrap_or(0) && server.probed + wait > now;
-        if reads && open.asked > 0 && awaited(first) {
-            self.wake(first.probed + wait, Wake::Again(id), out);
+        let fresh = |server: &Server| server.told.is_some_and(|at| at + FRESH >= now);
+        let due = |server: &Server| server.probed.filter(|at| server.probed > server.told && at + wait > now);
+        if let Some(at) = due(first).filter(|_| reads && open.asked > 0) {
+            self.wake(at + wait, Wake::Again(id), out);
             return true;
         }
-        let rounds = if reads { ASK_ROUNDS } else { 1 };
-        if !self.settings.limits.probes
-            || ranked.len() < 2
-            || open.asked >= rounds
-            || open.asked > 0 && fresh(first)
-        {
+        let ended = open.asked >= rounds || open.asked > 0 && fresh(first);
+        if !self.settings.limits.probes || ranked.len() < 2 || ended {
             return false;
         }
         open.asked += 1;
@@ -387,8 +367,8 @@
             let Some(server) = self.servers.get_mut(to).filter(|server| !fresh(server)) else { continue };
             any = true;
             server.asking.push(id);
-            if !awaited(server) {
-                server.probed = now;
+            if due(server).is_none() {
+                server.probed = Some(now);
                 out.push(Action::Probe(*to));
             }
         }
@@ -412,8 +392,8 @@
     /// Why a candidate is of last resort: the request failed there, or its like was turned away as full, or
     /// it is in doubt and not due for a trial, answers with errors, or left a probe unanswered for too long.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> Option<LastResort> {
-        let silent = server.probed > server.reported.unwrap_or(0)
-            && now >= server.probed + self.ask_wait(server.role == Role::Reader);
+        let waited = |at| now >= at + self.ask_wait(server.role == Role::Reader);
+        let silent = server.probed > server.told && server.probed.is_some_and(waited);
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
         let full =
             server.full.get(&(open.request.tenant, open.request.class)).is_some_and(|until| now < *until);
@@ -513,14 +493,13 @@
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
-            let own = promised(now, server, request);
+            let own = server.kept.promised(now.saturating_sub(KEPT_FOR), request);
             let kept = own.max(place.unwrap_or(0)).min(request.prompt_tokens);
             let missing = request.prompt_tokens - kept;
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
-            let jammed = load / pace > self.bound(request); // no better than any other
-            let class = u8::from(thin && !cold && (jammed || own == 0 && place.is_none()));
+            let class = u8::from(thin && !cold && own == 0 && place.is_none());
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Read { missing, load, pace, price, cost };
                 looked.push(Candidate { server: sid, barred, last_resort: unwilling, class, cost });
@@ -558,7 +537,7 @@
         let shared = homes.iter().copied().chain(first).map(|s| (s.entry.id, tokens));
         let spare = order.get(many).filter(|_| prefix.is_some()).map(|s| (s.entry.id, 0));
         // A session has its own home, unless it was met already, or is more than one may take.
-        let met = |key| order.iter().any(|s| s.kept.contains_key(&key)) || filled(key) >= 1.0;
+        let met = |key| order.iter().any(|s| s.kept.holds(&key)) || filled(key) >= 1.0;
         let own = request.session.filter(|key| !met(Key::Session(*key)));
         let own = own.and_then(|key| homes.iter().max_by(|a, b| lot(key.0, a).total_cmp(&lot(key.0, b))));
         let own = own.map(|s| (s.entry.id, request.prompt_tokens));
@@ -713,7 +692,8 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let request = open.request;
         let reads = open.state.is_none();
-        let missing = (request.prompt_tokens - promised(now, server, &request)) as f64;
+        let missing =
+            (request.prompt_tokens - server.kept.promised(now.saturating_sub(KEPT_FOR), &request)) as f64;
         let ahead = self.load(now, server, 0.0);
         let expected = if reads { (ahead + missing) / self.pace(now, server) } else { self.writers.wait };
         let expected = if server.role == Role::Mixed { expected + self.writers.wait } else { expected };
@@ -726,7 +706,7 @@
         (server.out, self.out) = (server.out + 1, self.out + 1);
         if reads {
             server.unread += missing;
-            record(now, server, &request);
+            server.kept.record(now, &request);
             keys(&request).for_each(|(key, _)| self.roster.keep(key, to));
         }
         if server.role != Role::Reader {
@@ -775,11 +755,11 @@
         }
         let answers = server.heard >= sent || jammed;
         let Some(server) = self.servers.get_mut(&to) else { return };
-        if !answers && (server.probed >= sent || !self.settings.limits.probes) {
+        if !answers && (server.probed >= Some(sent) || !self.settings.limits.probes) {
             self.doubt(now, to, out);
             return out.push(Action::Cancel { request: id, attempt: attempt as u32 });
         } else if !answers {
-            server.probed = now;
+            server.probed = Some(now);
             out.push(Action::Probe(to));
         }
         self.wake(now + PATIENCE_LEAST / 2, Wake::Patience(id, attempt), out);
@@ -800,7 +780,7 @@
             let waiting = report.waiting_tokens.or(report.waiting.map(|count| count * read)).unwrap_or(0.0);
             server.others = (waiting - server.unread).max(0.0);
             server.report = report;
-            server.reported = Some(now);
+            (server.reported, server.told) = (Some(now), Some(now));
             server.since.retain(|(at, _)| at + REPORT_LAG >= now);
         }
         if alive {
@@ -830,7 +810,7 @@
             server.unread = (server.unread - a.tokens).max(0.0);
             if a.reads {
                 server.pace.add(now, a.tokens + a.ahead + READ_OVERHEAD, took);
-                record(now, server, &open.request);
+                server.kept.record(now, &open.request);
             } else if a.crossing.is_none() {
                 server.begins.add(now, 1.0, took);
             }
@@ -998,10 +978,10 @@
     fn keep_house(&mut self, now: Micros, out: &mut Actions) {
         self.wake(now + HOUSEKEEPING, Wake::Housekeeping, out);
         for server in self.servers.values_mut() {
-            server.kept.retain(|_, kept| kept.used + KEPT_FOR > now);
+            server.kept.forget(now.saturating_sub(KEPT_FOR));
             server.since.retain(|(at, _)| at + REPORT_OLD > now);
         }
-        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.contains_key(key));
+        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.holds(key));
         self.roster.forget(keeps);
         self.demand.forget(now);
         self.average(now);
@@ -1043,23 +1023,13 @@
         }
     }
 
-    fn on_probed(
-        &mut self,
-        now: Micros,
-        from: ServerId,
-        outcome: Outcome,
-        report: Option<Report>,
-        out: &mut Actions,
-    ) {
-        let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
-        self.hear(now, from, false, report);
+    fn on_probed(&mut self, now: Micros, from: ServerId, told: bool, out: &mut Actions) {
         let Some(server) = self.servers.get_mut(&from) else { return };
         if told {
-            server.probed = 0; // it has nothing to report yet, or hung up on the probe: that is no silence
+            server.told = Some(now); // it has nothing to report yet, or hung up on the probe: that is no silence
         }
         for id in std::mem::take(&mut server.asking) {
-            let waits = self.requests.get(&id).is_some_and(|open| open.asked > 0 && open.state.is_none());
-            if waits {
+            if self.requests.get(&id).is_some_and(|open| open.asked > 0 && open.state.is_none()) {
                 self.advance(now, id, out);
             }
         }
@@ -1080,29 +1050,6 @@
     found.into_iter().map(|rank| rank.4).collect()
 }
 
-/// The keys under which a request's prompt is kept, and the tokens that each stands for.
-fn keys(request: &Request) -> impl Iterator<Item = (Key, u64)> {
-    let session = request.session.map(|key| (Key::Session(key), request.prompt_tokens));
-    let prefix =
-        request.prefix.map(|key| (Key::Prefix(key), request.prefix_tokens.min(request.prompt_tokens)));
-    session.into_iter().chain(prefix)
-}
-
-/// Prompt tokens that the table holds for the request.
-fn promised(now: Micros, server: &Server, request: &Request) -> u64 {
-    let kept = keys(request).filter_map(|(key, most)| Some((server.kept.get(&key)?, most)));
-    let fresh = kept.filter(|(kept, _)| kept.used + KEPT_FOR > now);
-    fresh.map(|(kept, most)| kept.tokens.min(most)).max().unwrap_or(0)
-}
-
-/// Notes that the server keeps the request's prompt, or will.
-fn record(now: Micros, server: &mut Server, request: &Request) {
-    for (key, tokens) in keys(request) {
-        let kept = server.kept.entry(key).or_insert(Kept { tokens, used: now });
-        (kept.tokens, kept.used) = (kept.tokens.max(tokens), now);
-    }
-}
-
 /// What the end of an attempt tells of its server.
 fn learn(now: Micros, server: &mut Server, request: &Request, a: &Attempt, ended: &Ended) {
     match ended.outcome {
@@ -1111,7 +1058,7 @@
             server.pace.add(now, missing + a.ahead + READ_OVERHEAD, ended.took);
             server.full.remove(&(request.tenant, request.class));
             server.served_to = server.served_to.max(a.sent);
-            record(now, server, request);
+            server.kept.record(now, request);
         }
         Outcome::Full => {
             server.full.insert((request.tenant, request.class), now + FULL_REST);
