Ask readers in rounds until one answers, and count what is unheard as another asking

A report waits in the queue that it tells of: 12 ms were waited for it, so jammed readers were passed over for ones of which nothing was known, which were jammed, too. Ruled out: memory share (a jammed reader shows no more of it), pace.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,8 +20,7 @@
 const OVERLAP_WEIGHT: f64 = 4.0;
 /// What a reader keeps is believed for so long after its last use: it may have let it go.
 const KEPT_FOR: Micros = 30_000_000;
-/// Part of a reader's time that one prefix may take, by the demand seen here, before it gets another place:
-/// two that meet at one reader leave it half.
+/// Part of a reader's time that one prefix may take before it gets another place: two leave it half.
 const PLACE_PART: f64 = 0.25;
 /// A prefix's part of what comes is measured against so many requests more (a guess): a few prove little.
 const DEMAND_PRIOR: f64 = 20.0;
@@ -74,8 +73,7 @@
 const TRIAL_AFTER: Micros = 2_000_000;
 /// A server that was full is this long the last resort of that tenant and class: others may find room there.
 const FULL_REST: Micros = 3_000_000;
-/// A server is faulty if, of late, this part of what it ended was errors, or half of it for what must not run
-/// twice: what may be repeated finds out whether it has recovered...
+/// A server is faulty if, of late, this part of what it ended was errors, or half of it for what may run once...
 const FAULTY: f64 = 0.2;
 /// ... mixed with so many good ends, so that it gets a trial after a rest...
 const FAULT_PRIOR: f64 = 2.0;
@@ -91,9 +89,9 @@
 const LOOK_AGAIN: Micros = 50_000;
 /// Averages and old entries are seen to this often.
 const HOUSEKEEPING: Micros = 200_000;
-/// Before a choice, up to this many of the best candidates are asked for a report...
+/// Before a choice, up to this many of the best candidates are asked for a report if that costs at most...
 const ASK: f64 = 3.0;
-/// ... if all that asking costs at most this part of the result at either choice...
+/// ... this part of the result at either choice...
 const ASK_SPEND: f64 = 0.01;
 /// ... of those whose last report is no longer fresh, that is older than this...
 const FRESH: Micros = 300_000;
@@ -135,6 +133,12 @@
     asking: Vec<RequestId>, // whose choice waits for its report
 }
 
+impl Server {
+    fn fresh(&self, now: Micros) -> bool {
+        self.told.is_some_and(|at| at + FRESH >= now)
+    }
+}
+
 #[derive(Clone, Copy)]
 struct Attempt {
     entry: ServerEntry,
@@ -351,20 +355,19 @@
         let (wait, rounds) = (self.ask_wait(reads), if reads { ASK_ROUNDS } else { 1 });
         let Some(open) = self.requests.get_mut(&id) else { return false };
         let Some(first) = ranked.first().and_then(|first| self.servers.get(first)) else { return false };
-        let fresh = |server: &Server| server.told.is_some_and(|at| at + FRESH >= now);
         let due = |server: &Server| server.probed.filter(|at| server.probed > server.told && at + wait > now);
         if let Some(at) = due(first).filter(|_| reads && open.asked > 0) {
             self.wake(at + wait, Wake::Again(id), out);
             return true;
         }
-        let ended = open.asked >= rounds || open.asked > 0 && fresh(first);
+        let ended = open.asked >= rounds || open.asked > 0 && first.fresh(now);
         if !self.settings.limits.probes || ranked.len() < 2 || ended {
             return false;
         }
         open.asked += 1;
         let mut any = false;
         for to in ranked.iter().take(most) {
-            let Some(server) = self.servers.get_mut(to).filter(|server| !fresh(server)) else { continue };
+            let Some(server) = self.servers.get_mut(to).filter(|server| !server.fresh(now)) else { continue };
             any = true;
             server.asking.push(id);
             if due(server).is_none() {
@@ -411,9 +414,8 @@
         reasons.into_iter().zip(LastResort::ALL).find_map(|(is, why)| is.then_some(why))
     }
 
-    /// Whether the answer can't begin within the aim even at the cheapest reader: sent on, it would only
-    /// lengthen a queue of late work. Guards against bursts, lost servers, fleets gone slow, and herds: of
-    /// all who see the same report, each takes a drawn place in the queue. May hurt where few peers send.
+    /// Whether the answer can't begin within the aim even at the cheapest reader: sent on, it would only lengthen a
+    /// queue of late work. Of all who see the same report, each takes a drawn place in the queue.
     fn hopeless(&mut self, now: Micros, id: RequestId, reader: ServerId) -> bool {
         let writer = self.rank_writers(now, id, reader).first().copied();
         self.looked.as_mut().map(Vec::clear); // nothing is chosen here
@@ -421,8 +423,7 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&reader)) else {
             return false;
         };
-        let fresh = server.reported.is_some_and(|at| now - at < FRESH);
-        if !fresh && self.out < TO_SEE {
+        if !server.fresh(now) && self.out < TO_SEE {
             return self.thin()
                 && self.load(now, server, 0.0) / self.pace(now, server) > self.bound(&open.request);
         }
@@ -492,6 +493,8 @@
             let place = if thin { place } else { self.homely(request, server) };
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(request).aim as f64 / 1e6;
+            let unheard = open.asked > 0 && !server.fresh(now); // it would have to be asked first
+            let price = price + if unheard { self.ask_wait(true) as f64 / 1e6 } else { 0.0 };
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
             let own = server.kept.promised(now.saturating_sub(KEPT_FOR), request);
             let kept = own.max(place.unwrap_or(0)).min(request.prompt_tokens);
@@ -735,11 +738,9 @@
         }
     }
 
-    /// An attempt is out for long. A server not heard since the send is asked; if it stays silent, or answers
-    /// only probes for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a
-    /// reader with a queue longer than the time waited, or, where dispatchers are many and know no link, a
-    /// writer that fetches over one: reads may not stop, a move begins anew. May hurt: a hung server that
-    /// answers probes.
+    /// An attempt is out for long. A server not heard since the send is asked; if it stays silent, or answers only
+    /// probes for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a reader with
+    /// a queue longer than the time waited, or, where dispatchers are many, a writer that fetches over a link.
     fn on_patience(&mut self, now: Micros, id: RequestId, attempt: usize, out: &mut Actions) {
         let Some(open) = self.requests.get(&id).filter(|o| !o.over && !o.started) else { return };
         let Some(a) = open.out().filter(|_| open.attempts.len() == attempt + 1) else { return };
