Ask readers in rounds only where dispatchers are many

Change: rounds, waiting for the best and the price of what is unheard hold where dispatchers are many.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,7 +97,7 @@
 const FRESH: Micros = 300_000;
 /// ... and the choice waits for this part of the shortest aim...
 const ASK_WAIT: f64 = 0.015;
-/// ... or, of a reader, for this: a report waits in the queue that it tells of, so who is not back is jammed...
+/// ... or, where dispatchers are many, of a reader, for this: a report waits in the queue that it tells of, so who is not back is jammed...
 const ASK_WAIT_READER: f64 = 0.1;
 /// ... and others are asked, so many times at most.
 const ASK_ROUNDS: u32 = 3;
@@ -350,7 +350,7 @@
     /// Asks the best candidates for reports before the choice among them, and of readers others if the best
     /// stay silent. One of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
     fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
-        let reads = self.requests.get(&id).is_some_and(|open| open.state.is_none());
+        let reads = self.thin() && self.requests.get(&id).is_some_and(|open| open.state.is_none());
         let most = (ASK_SPEND / self.settings.prices.probe.max(1e-6)).min(ASK) as usize;
         let (wait, rounds) = (self.ask_wait(reads), if reads { ASK_ROUNDS } else { 1 });
         let Some(open) = self.requests.get_mut(&id) else { return false };
@@ -369,7 +369,7 @@
         for to in ranked.iter().take(most) {
             let Some(server) = self.servers.get_mut(to).filter(|server| !server.fresh(now)) else { continue };
             any = true;
-            server.asking.push(id);
+            server.asking.extend(reads.then_some(id));
             if due(server).is_none() {
                 server.probed = Some(now);
                 out.push(Action::Probe(*to));
@@ -395,7 +395,7 @@
     /// Why a candidate is of last resort: the request failed there, or its like was turned away as full, or
     /// it is in doubt and not due for a trial, answers with errors, or left a probe unanswered for too long.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> Option<LastResort> {
-        let waited = |at| now >= at + self.ask_wait(server.role == Role::Reader);
+        let waited = |at| now >= at + self.ask_wait(self.thin() && server.role == Role::Reader);
         let silent = server.probed > server.told && server.probed.is_some_and(waited);
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
         let full =
@@ -493,7 +493,7 @@
             let place = if thin { place } else { self.homely(request, server) };
             let far = f64::from(server.entry.zone != self.settings.zone);
             let price = far * self.settings.prices.cross_zone * self.class(request).aim as f64 / 1e6;
-            let unheard = open.asked > 0 && !server.fresh(now); // it would have to be asked first
+            let unheard = thin && open.asked > 0 && !server.fresh(now); // it would have to be asked first
             let price = price + if unheard { self.ask_wait(true) as f64 / 1e6 } else { 0.0 };
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
             let own = server.kept.promised(now.saturating_sub(KEPT_FOR), request);
