Let go of what an earlier read left once the next read was turned away

A read that may have left a state, or one whose release was under way, was forgotten as soon as a server had the next attempt, also where that server then turned it away: nobody was asked to let go any more, and the state stayed pinned until the request was over. Attempts that were turned away no longer count as the last one, and calls to let go that an attempt has broken off are taken up again.

Two stories in tests/core.rs fail without it.

--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -138,9 +138,16 @@
     /// When what a read may have left is let go of once more.
     again: Option<Micros>,
     letting_go: Option<LetGo>,
+    /// Nobody had taken a call to let go yet as a server got the next attempt.
+    broken_off: bool,
 }
 
 impl Open {
+    /// Something may be held that no attempt waits for and nobody is asked to let go of.
+    fn lies_bare(&self) -> bool {
+        self.tries.lies_bare() || self.broken_off && self.tries.at_no_server()
+    }
+
     /// No attempt is out, and what was held is let go of.
     fn idle(&self) -> bool {
         !self.tries.any_out() && self.again.is_none() && self.letting_go.is_none()
@@ -247,7 +254,7 @@
                     }
                     open.again = None;
                     // A state that was read since then is waited for, or about to be.
-                    if open.over || open.tries.lies_bare() {
+                    if open.over || open.lies_bare() {
                         self.let_go(now, id, out);
                     }
                     self.forget(id, out);
@@ -275,7 +282,9 @@
             Input::Written(id, attempt) => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 // A server has it: what it leaves must not be taken from it by a call for what was held before.
-                open.letting_go = open.letting_go.take().filter(|_| open.over);
+                let let_go = open.letting_go.take();
+                open.broken_off |= let_go.is_some() && !open.over;
+                open.letting_go = let_go.filter(|_| open.over);
                 let attempt = open.tries.all.get_mut(attempt as usize);
                 if attempt.is_some_and(|a| !std::mem::replace(&mut a.written, true)) {
                     self.totals.written += 1;
@@ -312,9 +321,9 @@
         let Admission { pool, mut request, time_left } = admission;
         request.expires = now.saturating_add(time_left);
         let (id, class, expires) = (request.id, request.class, request.expires);
-        let tries = Tries::default();
-        let open =
-            Open { pool, class, expires, tries, owner: None, over: false, again: None, letting_go: None };
+        let (tries, owner, again, letting_go) = (Tries::default(), None, None, None);
+        let (over, broken_off) = (false, false);
+        let open = Open { pool, class, expires, tries, owner, over, again, letting_go, broken_off };
         self.open.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), out);
@@ -334,7 +343,7 @@
         }
         let took = now.saturating_sub(a.sent);
         open.owner = Some(attempt);
-        open.letting_go = None;
+        (open.letting_go, open.broken_off) = (None, false);
         out.push(Output::Relay(id, attempt));
         self.hear(now, pool, server);
         self.drive(now, pool, Event::Started { request: id, attempt, server, took }, out);
@@ -369,6 +378,8 @@
             self.totals.written += 1;
         }
         open.tries.ended(now, outcome);
+        // The state that it has left goes by the same name as the one before, and the router answers for it.
+        open.broken_off &= outcome != Outcome::Read;
         if outcome.is_told() {
             self.hear(now, pool, server);
         }
@@ -381,9 +392,8 @@
         self.drive(now, pool, Event::Ended(ended), out);
         // The router may find no reader for a while: what the last one may have left must not stay pinned.
         let after = self.pools.get(usize::from(pool.0)).map_or(0, |pool| release_again(&pool.settings.rules));
-        let unheard = matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
-        if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over && open.tries.lies_bare())
-            && !(unheard && open.again.is_some())
+        if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over && open.lies_bare())
+            && !(outcome.never_ran() && open.again.is_some())
         {
             open.again = Some(now + after);
             self.wake(now + after, Due::Again(id));
@@ -559,6 +569,7 @@
         if order.is_empty() {
             return;
         }
+        open.broken_off = false;
         order.retain(|server| pool.kinds.contains_key(server));
         let mut others: Vec<_> =
             pool.kinds.keys().filter(|server| !order.contains(server)).copied().collect();
--- a/src/routing/tries.rs
+++ b/src/routing/tries.rs
@@ -27,6 +27,11 @@
         self.ended.is_none() && !self.written
     }
 
+    /// A server had it and left all as it was.
+    fn turned_away(&self) -> bool {
+        matches!(self.ended, Some(Outcome::Full | Outcome::NoState))
+    }
+
     /// It never came to a server, or may still not.
     fn unheard(&self) -> bool {
         self.unsent() || matches!(self.ended, Some(Outcome::ConnectFailed | Outcome::NotSent))
@@ -59,15 +64,17 @@
         }
     }
 
-    /// No server has an attempt, and the last one that a server had was a read.
-    fn last_read(&self) -> Option<&Attempt> {
-        let waits = self.all.iter().all(|a| a.ended.is_some() || a.unsent());
-        self.all.iter().rev().find(|a| !a.unheard()).filter(|a| waits && a.reads)
+    /// No server has an attempt.
+    pub fn at_no_server(&self) -> bool {
+        self.all.iter().all(|a| a.ended.is_some() || a.unsent())
     }
 
-    /// A read that did not end cleanly may have left a state that nobody knows of.
+    /// A read that did not end cleanly may have left a state that nobody knows of. Attempts after it that were turned
+    /// away have changed nothing of that.
     pub fn lies_bare(&self) -> bool {
-        self.last_read().is_some_and(|a| a.ended.is_some_and(|outcome| !outcome.never_ran()))
+        let last = self.all.iter().rev().find(|a| !a.unheard() && !a.turned_away());
+        let read = last.filter(|a| a.reads && self.at_no_server());
+        read.is_some_and(|a| a.ended.is_some_and(|outcome| !outcome.never_ran()))
     }
 
     /// When a writer's connection has to be up, as a state waits for it: after half of the time that is left, so that
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -182,6 +182,37 @@
     assert_eq!(asked(&later), Vec::<u32>::new(), "{later:?}");
 }
 
+/// Failure: a read that is turned away counts as one that answers for what the read before it may have left.
+#[test]
+fn what_a_broken_read_may_have_left_is_let_go_of_though_the_next_read_was_turned_away() {
+    let mut stand = Stand::new(Effect::Safe);
+    let (id, _) = stand.request();
+    stand.written(id, 0);
+    let out = stand.ended(id, 0, Outcome::Reset);
+    assert!(matches!(out[..], [Output::Send { attempt: 1, .. }]), "{out:?}");
+    stand.written(id, 1);
+    let out = stand.ended(id, 1, Outcome::Full);
+    assert_eq!(asked(&out), Vec::<u32>::new(), "{out:?}");
+    assert_eq!(asked(&stand.tick(stand.now + 150 * MS))[0], 1);
+}
+
+/// Failure: calls to let go that the next read had broken off are not taken up again as that read is turned away.
+#[test]
+fn what_was_being_let_go_of_is_so_again_once_the_next_read_was_turned_away() {
+    let mut stand = Stand::new(Effect::Safe);
+    let id = stand.writing();
+    // The writer does not find it: it is let go of, and read anew.
+    let out = stand.ended(id, 1, Outcome::NoState);
+    assert_eq!(asked(&out), [1]);
+    assert!(out.iter().any(|o| matches!(o, Output::Send { attempt: 2, server: ServerId(1), .. })), "{out:?}");
+    // The read comes through before a call has.
+    stand.written(id, 2);
+    stand.ended(id, 2, Outcome::Full);
+    assert_eq!(asked(&stand.tick(stand.now + 150 * MS)).first(), Some(&1));
+    assert_eq!(stand.input(Input::LetGo(id, true)), []);
+    assert_eq!(asked(&stand.tick(stand.now + 300 * MS)), Vec::<u32>::new(), "somebody has taken it");
+}
+
 #[test]
 fn an_answer_that_breaks_off_is_the_end_of_its_request() {
     let mut stand = Stand::new(Effect::Safe);
