--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -15,32 +15,6 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout};
 
-async fn pair() -> (Peer, Peer, Conductor) {
-    let (reader, writer) = (Peer::start().await, Peer::start().await);
-    let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
-    let conductor = Conductor::start(&servers, "").await;
-    (reader, writer, conductor)
-}
-
-/// Reads the next prompt; the reader's connection is kept.
-async fn read(reader: &mut Peer) {
-    let mut seen = reader.next().await;
-    seen.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
-    seen.go_on();
-}
-
-/// Serves the next request with one event.
-async fn serve(reader: &mut Peer, writer: &mut Peer) {
-    read(reader).await;
-    let mut seen = writer.next().await;
-    seen.begin().await;
-    seen.chunk("data: [DONE]\n\n").await;
-    seen.end().await;
-    seen.go_on();
-}
-
-const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 /// Sends a text again and again, until the other side has hung up; how long that took.
 async fn for_ever(wire: &mut Wire, text: &str, pause: Duration) -> Duration {
     let began = Stopwatch::start();
@@ -68,7 +42,7 @@
         ];
         for (n, (start, more)) in cases.into_iter().enumerate() {
             let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             seen.wire.write(&start).await;
             let hung_up = for_ever(&mut seen.wire, &more, Duration::from_millis(20));
@@ -89,7 +63,7 @@
         let mut open = Vec::new();
         for (n, more) in [chunk(": wait\n\n"), "x".to_string()].into_iter().enumerate() {
             let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             seen.begin().await;
             seen.chunk("data: 1\n\n").await;
@@ -116,7 +90,7 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let mut client = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.begin().await;
         // More than it was asked for (80 tokens), and longer than its client would have waited for the first one.
@@ -143,7 +117,7 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let _client = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.begin().await;
         let part = chunk(&format!("data: {}\n\n", "x".repeat(60_000)));
@@ -162,7 +136,7 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let mut client = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.begin().await;
         // One chunk holds what is sent byte by byte, with many events in it.
@@ -197,7 +171,7 @@
         let (mut reader, mut writer, conductor) = pair().await;
         let whole = |body: &str| format!("{HEAD}{}0\r\n\r\n", chunk(body));
         let mut first = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         // The next request is read, and waits for a writer just as the first one ends.
         let mut second = conductor.ask("b1", "book", 9000).await;
@@ -273,7 +247,7 @@
         for (n, half) in halves.iter().enumerate() {
             for reset in [false, true] {
                 let mut client = conductor.ask(&format!("b{n}-{reset}"), "book", 9000).await;
-                read(&mut reader).await;
+                reader.reads().await;
                 ends(writer.next().await, half, reset).await;
                 let head = client.until("\r\n\r\n").await.expect("an answer");
                 assert!(head.starts_with("HTTP/1.1 500"), "{head} after {half}");
@@ -283,7 +257,7 @@
         // Once it has begun its client hears that it has broken off.
         for (n, begun) in [HEAD, unframed].into_iter().enumerate() {
             let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             let event = if begun == HEAD { chunk("data: 1\n\n") } else { "data: 1\n\n".to_string() };
             seen.wire.write(&format!("{begun}{event}")).await;
@@ -303,7 +277,7 @@
         let (mut reader, mut writer, conductor) = pair().await;
         for n in 0..20 {
             let mut client = conductor.ask(&format!("d{n}"), "ask", 4000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             ends(writer.next().await, &format!("{HEAD}{}", chunk("data: 1\n\n")), false).await;
             let answer = client.rest().await;
             assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("data: 1\n\n"), "{n}: {answer}");
@@ -318,10 +292,10 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let mut booking = conductor.ask("b1", "book", 9000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let booked = writer.next().await;
         let mut question = conductor.ask("c1", "ask", 5000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let asked = writer.next().await;
         sleep(Duration::from_millis(1_500)).await;
         let broke = Stopwatch::start();
@@ -332,7 +306,7 @@
         asked.wire.reset();
         let mut again = tokio::select! {
             seen = writer.next() => seen,
-            () = async { read(&mut reader).await; std::future::pending().await } => unreachable!(),
+            () = async { reader.reads().await; std::future::pending().await } => unreachable!(),
         };
         assert!(again.head.contains("c1"), "{}", again.head);
         again.begin().await;
@@ -350,7 +324,7 @@
         let (mut reader, mut writer, conductor) = pair().await;
         let began = Stopwatch::start();
         let mut booking = conductor.ask("b1", "book", 1_500).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let _kept = writer.next().await;
         let head = booking.until("\r\n\r\n").await.expect("an answer");
         // Whether it is given up before its time or at it: nobody may call it harmless.
@@ -385,7 +359,7 @@
         ];
         for (n, answer) in answers.iter().enumerate() {
             let mut client = conductor.ask(&format!("b{n}"), "book", 9000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             let began = Stopwatch::start();
             seen.wire.write_all_it_takes(answer).await;
@@ -396,7 +370,7 @@
         }
         // A body with both framings ends where its last chunk says; nothing behind that is anybody's.
         let mut client = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         let both = HEAD.replace("\r\n\r\n", "\r\nContent-Length: 5\r\n\r\n");
         seen.wire.write(&format!("{both}{}0\r\n\r\n", chunk("data: 1\n\n"))).await;
@@ -430,7 +404,7 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let mut client = conductor.ask("b1", "book", 9000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.wire.write("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 99\r\n\r\nhalf a body").await;
         // Its state still waits: the writer gets it again.
@@ -478,7 +452,7 @@
         for n in 0..2 {
             let mut client = Wire::connect(&conductor.front).await;
             client.write(&platform_request(&format!("b{n}"), "book", 9000, "")).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let seen = writer.next().await;
             assert!(seen.body.is_empty());
             seen.wire.reset();
@@ -501,7 +475,7 @@
         let (mut reader, mut writer, conductor) = pair().await;
         let mut client = Wire::connect(&conductor.front).await;
         client.write(&platform_request("b1", "book", 9000, "")).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         // Beyond the 300 ms for which a state may wait.
         let let_go = timeout(Duration::from_millis(500), reader.next_let_go()).await;
@@ -567,7 +541,7 @@
         let conductor = Conductor::start(&servers, "").await;
         let reads = tokio::spawn(async move {
             loop {
-                read(&mut reader).await;
+                reader.reads().await;
             }
         });
         let bodies = [String::new(), "{}".to_string(), "x".repeat(250_000)];
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -97,30 +97,14 @@
     ]
 }
 
-/// A conductor with so many descriptors before these servers, whose discovery tells the same list.
+/// A conductor before these servers, with what else its configuration is to be.
 async fn conductor(servers: &[Value], change: impl FnOnce(&mut Value)) -> Conductor {
-    let mut discovery = Peer::start().await;
-    let mut config = config(&discovery.address, servers);
+    let mut config = config(&telling_once(servers).await, servers);
     config["admin"] = json!("127.0.0.1:0");
     change(&mut config);
-    let whole = list(1, true, servers).to_string();
-    tokio::spawn(async move {
-        discovery.next().await.answer("200 OK", "", &whole).await;
-        let _silent = discovery.next().await;
-        std::future::pending::<()>().await;
-    });
     Conductor::start_with(config, "").await
 }
 
-/// A figure that operators read.
-async fn figure(conductor: &Conductor, name: &str) -> u64 {
-    let mut wire = Wire::connect(&conductor.admin).await;
-    wire.write("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").await;
-    let text = wire.rest().await;
-    let (_, figure) = text.split_once(&format!("app.{name}:")).unwrap_or_else(|| panic!("{name} in {text}"));
-    figure.split('|').next().expect("a figure").parse().expect("a number")
-}
-
 /// Failure: an attempt goes on, or a further one begins, for a client that has gone while bytes behind its request
 /// hide its end.
 #[test]
@@ -207,7 +191,7 @@
             assert!(seen.head.contains("marker"), "{going:?}: {}", seen.head);
             drop((marker, left));
             assert_eq!(seen.wire.rest().await, "", "it is closed");
-            while figure(&conductor, "in_progress").await > 0 {}
+            while figure(&conductor.admin, "in_progress").await > 0 {}
             assert_eq!(reader.unseen() + writer.unseen(), 0, "{going:?}");
         }
     });
@@ -235,10 +219,10 @@
             for (n, request) in requests("hangs").into_iter().enumerate() {
                 let request = request.replace("hangs", &format!("hangs-{round}-{n}"));
                 let client = Client::send(&conductor, &request).await;
-                while figure(&conductor, "in_progress").await == 0 {}
+                while figure(&conductor.admin, "in_progress").await == 0 {}
                 let went = Stopwatch::start();
                 let _left = client.go(going).await;
-                while figure(&conductor, "in_progress").await > 0 {}
+                while figure(&conductor.admin, "in_progress").await > 0 {}
                 assert!(went.elapsed() < Duration::from_secs(1), "{:?}: {going:?}", went.elapsed());
             }
         }
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -257,7 +257,7 @@
         let mut seen_whole = 0;
         for n in 0..6 {
             let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             seen_whole += 2;
             seen.begin().await;
@@ -274,7 +274,7 @@
         }
         // Nobody knows whether this one has run.
         let mut client = conductor.ask("b1", "book", 9000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         drop(writer.next().await);
         seen_whole += 2;
         assert!(client.until("\r\n").await.expect("a head").contains("500"));
@@ -316,21 +316,6 @@
     });
 }
 
-/// Serves the request that waits at the reader.
-async fn serve(reader: &mut Peer, writer: &mut Peer) {
-    read(reader).await;
-    write(writer).await;
-}
-
-/// Answers the request that waits at the writer.
-async fn write(writer: &mut Peer) {
-    let mut seen = writer.next().await;
-    seen.begin().await;
-    seen.chunk("data: [DONE]\n\n").await;
-    seen.end().await;
-    seen.go_on();
-}
-
 /// Failure: a drain resets somebody, answers twice or not at all, keeps clients, or can't be called off.
 #[test]
 fn clients_are_sent_away_and_taken_back_without_a_reset() {
@@ -346,7 +331,7 @@
         resting.rest_of_answer().await;
         // An answer that begins before the call, and goes on beyond the term.
         let mut long = conductor.ask("c2", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut stream = writer.next().await;
         stream.begin().await;
         stream.chunk("data: {}\n\n").await;
@@ -369,7 +354,7 @@
         assert!(call(admin, "GET /healthcheck").await.starts_with("HTTP/1.1 200"), "it can serve");
         first.answer("202 Accepted", "", "{}").await;
         first.go_on();
-        write(&mut writer).await;
+        writer.writes().await;
         let answer = pipelined.until("0\r\n\r\n").await.expect("the first answer");
         assert!(!answer.to_lowercase().contains("connection: close"), "another request waits: {answer}");
         serve(&mut reader, &mut writer).await;
@@ -402,12 +387,6 @@
     });
 }
 
-async fn read(reader: &mut Peer) {
-    let mut seen = reader.next().await;
-    seen.answer("202 Accepted", "", "{\"cached_tokens\":0}").await;
-    seen.go_on();
-}
-
 fn long_body() -> String {
     format!(
         "GET /healthcheck HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n{}",
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -157,8 +157,7 @@
 
     /// Begins an answer of events.
     pub async fn begin(&mut self) {
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        self.wire.write(head).await;
+        self.wire.write(HEAD).await;
     }
 
     pub async fn chunk(&mut self, text: &str) {
@@ -244,6 +243,66 @@
     }
 }
 
+impl Peer {
+    /// As a reader: reads the next prompt, and keeps the connection.
+    pub async fn reads(&mut self) {
+        let mut seen = self.next().await;
+        seen.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
+        seen.go_on();
+    }
+
+    /// As a writer: serves the next request with one event, and keeps the connection.
+    pub async fn writes(&mut self) {
+        let mut seen = self.next().await;
+        seen.begin().await;
+        seen.chunk("data: [DONE]\n\n").await;
+        seen.end().await;
+        seen.go_on();
+    }
+}
+
+/// Serves the next request with one event.
+pub async fn serve(reader: &mut Peer, writer: &mut Peer) {
+    reader.reads().await;
+    writer.writes().await;
+}
+
+/// A reader, a writer, and a conductor before them.
+pub async fn pair() -> (Peer, Peer, Conductor) {
+    let (reader, writer) = (Peer::start().await, Peer::start().await);
+    let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+    let conductor = Conductor::start(&servers, "").await;
+    (reader, writer, conductor)
+}
+
+/// A discovery that tells this list once, and is silent from then on.
+pub async fn telling_once(servers: &[Value]) -> String {
+    let mut discovery = Peer::start().await;
+    let (address, whole) = (discovery.address.clone(), list(1, true, servers).to_string());
+    tokio::spawn(async move {
+        discovery.next().await.answer("200 OK", "", &whole).await;
+        let _silent = discovery.next().await;
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// The head of an answer of events.
+pub const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Asks whether clients may come.
+pub const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// A figure that operators read.
+pub async fn figure(admin: &str, name: &str) -> u64 {
+    let mut wire = Wire::connect(admin).await;
+    wire.write("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    let text = wire.rest().await;
+    let (_, figure) = text.split_once(&format!("app.{name}:")).unwrap_or_else(|| panic!("{name} in {text}"));
+    figure.split('|').next().expect("a figure").parse().expect("a number")
+}
+
 /// An address that is kept, so that no other story's server gets it, and at which nothing listens; a program
 /// that is told to may listen there.
 pub struct Reserved {
@@ -351,15 +410,15 @@
 impl Conductor {
     /// Starts one whose discovery only ever tells the list that it knows already.
     pub async fn start(servers: &[Value], operator: &str) -> Self {
-        let mut discovery = Peer::start().await;
-        let config = config(&discovery.address, servers);
-        let whole = list(1, true, servers).to_string();
-        tokio::spawn(async move {
-            discovery.next().await.answer("200 OK", "", &whole).await;
-            let _silent = discovery.next().await;
-            std::future::pending::<()>().await;
-        });
-        Self::start_with(config, operator).await
+        Self::start_with(config(&telling_once(servers).await, servers), operator).await
+    }
+
+    /// The same with so many descriptors, and a front for operators.
+    pub async fn with_sockets(servers: &[Value], sockets: usize) -> Self {
+        let mut config = config(&telling_once(servers).await, servers);
+        config["admin"] = json!("127.0.0.1:0");
+        config["limits"]["sockets"] = json!(sockets);
+        Self::start_with(config, "").await
     }
 
     pub async fn start_with(config: Value, operator: &str) -> Self {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,14 +5,6 @@
 use peers::*;
 use serde_json::json;
 
-/// A reader and a writer, and a conductor before them.
-async fn pair() -> (Peer, Peer, Conductor) {
-    let (reader, writer) = (Peer::start().await, Peer::start().await);
-    let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
-    let conductor = Conductor::start(&servers, "").await;
-    (reader, writer, conductor)
-}
-
 async fn read(reader: &mut Peer) {
     reader.next().await.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
 }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -46,33 +46,11 @@
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
                      e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 
-/// A conductor before them with so many descriptors.
-async fn conductor(servers: &[Value], sockets: usize) -> Conductor {
-    let mut discovery = Peer::start().await;
-    let mut config = config(&discovery.address, servers);
-    config["admin"] = json!("127.0.0.1:0");
-    config["limits"]["sockets"] = json!(sockets);
-    let whole = list(1, true, servers).to_string();
-    tokio::spawn(async move {
-        discovery.next().await.answer("200 OK", "", &whole).await;
-        let _silent = discovery.next().await;
-        std::future::pending::<()>().await;
-    });
-    Conductor::start_with(config, "").await
-}
-
-/// The same as a process of its own, at these addresses.
+/// A conductor before them with so many descriptors, as a process of its own at these addresses.
 async fn process(servers: &[Value], sockets: usize, front: &str, admin: &str, folder: &Folder) -> Child {
-    let mut discovery = Peer::start().await;
-    let mut config = config(&discovery.address, servers);
+    let mut config = config(&telling_once(servers).await, servers);
     (config["listen"], config["admin"]) = (json!(front), json!(admin));
     config["limits"]["sockets"] = json!(sockets);
-    let whole = list(1, true, servers).to_string();
-    tokio::spawn(async move {
-        discovery.next().await.answer("200 OK", "", &whole).await;
-        let _silent = discovery.next().await;
-        std::future::pending::<()>().await;
-    });
     let child = Command::new(env!("CARGO_BIN_EXE_birchspur"))
         .env("LB_CONFIG", folder.write("config.json", &config.to_string()))
         .kill_on_drop(true)
@@ -90,23 +68,12 @@
     }
 }
 
-const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
-
-/// A figure that operators read.
-async fn figure(admin: &str, name: &str) -> u64 {
-    let mut wire = Wire::connect(admin).await;
-    wire.write("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").await;
-    let text = wire.rest().await;
-    let (_, figure) = text.split_once(&format!("app.{name}:")).unwrap_or_else(|| panic!("{name} in {text}"));
-    figure.split('|').next().expect("a figure").parse().expect("a number")
-}
-
 /// Failure: a request that is refused before all of it is read has its connection reset, and the answer with it.
 #[test]
 fn whoever_is_refused_before_all_is_read_reads_its_whole_answer() {
     story(async {
         let (list, seen) = servers(Peer::start().await, Peer::start().await);
-        let conductor = conductor(&list, 256).await;
+        let conductor = Conductor::with_sockets(&list, 256).await;
         let long = platform_request("long", "ask", 4000, &"x".repeat(256 * 1024 + 1));
         let chunked = platform_request("chunked", "ask", 4000, "")
             .replace("Content-Length: 0", "Transfer-Encoding: chunked");
@@ -138,7 +105,7 @@
 fn whoever_trickles_until_its_time_is_over_is_ended_cleanly() {
     story(async {
         let (list, seen) = servers(Peer::start().await, Peer::start().await);
-        let conductor = conductor(&list, 256).await;
+        let conductor = Conductor::with_sockets(&list, 256).await;
         let body =
             platform_request("body", "ask", 4000, &"x".repeat(60_000)).replace(&"x".repeat(60_000), "");
         let cases = [(body.as_str(), "HTTP/1.1 408"), ("POST /v1/chat HTTP/1.1\r\nX-Long: ", "")];
@@ -181,7 +148,7 @@
 fn a_request_that_crosses_an_eviction_is_served_or_was_never_read() {
     story(async {
         let (list, seen) = servers(Peer::start().await, Peer::start().await);
-        let conductor = conductor(&list, 64).await;
+        let conductor = Conductor::with_sockets(&list, 64).await;
         let (mut taken, mut lost) = (Vec::new(), 0);
         for round in 0..8_u64 {
             let mut resting = Vec::new();
@@ -297,7 +264,7 @@
 fn a_crowd_that_has_gone_has_asked_nothing() {
     story(async {
         let (list, seen) = servers(Peer::start().await, Peer::start().await);
-        let conductor = conductor(&list, 256).await;
+        let conductor = Conductor::with_sockets(&list, 256).await;
         // As many as the system's queue surely has room for.
         for round in 0..4 {
             all_gone((0..100).map(|n| asks(&conductor.front, &format!("flood-{round}-{n}"))).collect());
@@ -316,7 +283,7 @@
 fn whoever_asks_and_goes_as_its_time_is_over_has_asked_nothing() {
     story(async {
         let (list, seen) = servers(Peer::start().await, Peer::start().await);
-        let conductor = conductor(&list, 256).await;
+        let conductor = Conductor::with_sockets(&list, 256).await;
         let began = Instant::now();
         let mut mute: Vec<_> =
             (0..40).map(|_| TcpStream::connect(&conductor.front).expect("a connection")).collect();
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -7,54 +7,16 @@
 
 use peers::stopwatch::Stopwatch;
 use peers::*;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::{Instant, timeout};
 
-/// A conductor with so many descriptors before these servers.
-async fn conductor(sockets: usize, servers: &[Value]) -> Conductor {
-    let mut discovery = Peer::start().await;
-    let mut config = config(&discovery.address, servers);
-    config["limits"]["sockets"] = json!(sockets);
-    let whole = list(1, true, servers).to_string();
-    tokio::spawn(async move {
-        discovery.next().await.answer("200 OK", "", &whole).await;
-        let _silent = discovery.next().await;
-        std::future::pending::<()>().await;
-    });
-    Conductor::start_with(config, "").await
-}
-
-async fn pair() -> (Peer, Peer, Conductor) {
-    let (reader, writer) = (Peer::start().await, Peer::start().await);
-    let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
-    let conductor = conductor(256, &servers).await;
-    (reader, writer, conductor)
-}
-
-/// Reads the next prompt; the reader's connection is kept.
-async fn read(reader: &mut Peer) {
-    let mut seen = reader.next().await;
-    seen.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
-    seen.go_on();
-}
-
-/// Serves the next request with one event.
-async fn serve(reader: &mut Peer, writer: &mut Peer) {
-    read(reader).await;
-    let mut seen = writer.next().await;
-    seen.begin().await;
-    seen.chunk("data: [DONE]\n\n").await;
-    seen.end().await;
-    seen.go_on();
-}
-
 /// Failure: clients that have asked once and stay, or never ask, use the budget up and shut others out.
 #[test]
 fn connections_that_rest_make_room_for_those_that_ask() {
     story(async {
         let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
         let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
-        let conductor = conductor(64, &servers).await; // twelve are for clients
+        let conductor = Conductor::with_sockets(&servers, 64).await; // twelve are for clients
         let mut stay = Vec::new();
         for n in 0..14 {
             let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
@@ -65,7 +27,7 @@
         }
         // One that is being answered does not have to go.
         let mut open = conductor.ask("open", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.begin().await;
         seen.chunk("data: 1\n\n").await;
@@ -157,8 +119,6 @@
     });
 }
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 /// Failure: a booking whose answer can't be read runs again, its client waits until its time is over, or it
 /// is given bytes that are no event.
 #[test]
@@ -179,7 +139,7 @@
         .enumerate()
         {
             let mut client = conductor.ask(&format!("c{n}"), "book", 9000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             let began = Stopwatch::start();
             seen.wire.write_all_it_takes(&spoilt).await;
@@ -204,7 +164,7 @@
             .enumerate()
         {
             let mut client = conductor.ask(&format!("c{n}"), "ask", 4000).await;
-            read(&mut reader).await;
+            reader.reads().await;
             let mut seen = writer.next().await;
             seen.begin().await;
             seen.chunk("data: 1\n\n").await;
@@ -222,7 +182,7 @@
     story(async {
         let (mut reader, mut writer, conductor) = pair().await;
         let mut client = conductor.ask("c1", "ask", 4000).await;
-        read(&mut reader).await;
+        reader.reads().await;
         let mut seen = writer.next().await;
         seen.wire.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n").await;
         // Longer than a head that has begun may take.
