--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,7 +97,7 @@
 const FRESH: Micros = 300_000;
 /// ... and the choice waits for this part of the shortest aim...
 const ASK_WAIT: f64 = 0.015;
-/// ... or, where dispatchers are many, of a reader, for this: a report waits in the queue of which it tells...
+/// ... or, where dispatchers are many, of a reader, for this: a report waits in the queue it tells of...
 const ASK_WAIT_READER: f64 = 0.1;
 /// ... and others are asked, so many times at most.
 const ASK_ROUNDS: u32 = 3;
@@ -347,8 +347,8 @@
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
-    /// Asks the best candidates for reports before the choice among them, and of readers others if the best stay
-    /// silent: one of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
+    /// Asks the best candidates for reports before the choice among them, and others while these are silent:
+    /// one of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
     fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
         let reads = self.thin() && self.requests.get(&id).is_some_and(|open| open.state.is_none());
         let most = (ASK_SPEND / self.settings.prices.probe.max(1e-6)).min(ASK) as usize;
@@ -414,8 +414,8 @@
         reasons.into_iter().zip(LastResort::ALL).find_map(|(is, why)| is.then_some(why))
     }
 
-    /// Whether the answer can't begin within the aim even at the cheapest reader: it would only lengthen a queue
-    /// of late work. Of all who see the same report, each takes a drawn place in the queue.
+    /// Whether the answer can't begin within the aim even at the cheapest reader: it would only lengthen
+    /// a queue of late work. Of all who see the same report, each takes a drawn place in the queue.
     fn hopeless(&mut self, now: Micros, id: RequestId, reader: ServerId) -> bool {
         let writer = self.rank_writers(now, id, reader).first().copied();
         self.looked.as_mut().map(Vec::clear); // nothing is chosen here
@@ -738,9 +738,9 @@
         }
     }
 
-    /// An attempt is out for long. A server not heard since is asked; if it stays silent, or answers only probes
-    /// for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a reader with a long
-    /// queue, or, where dispatchers are many, a writer that fetches over a link.
+    /// An attempt is out for long. A server not heard since is asked; if it stays silent, or answers only
+    /// probes for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a
+    /// reader with a long queue, or, where dispatchers are many, a writer that fetches over a link.
     fn on_patience(&mut self, now: Micros, id: RequestId, attempt: usize, out: &mut Actions) {
         let Some(open) = self.requests.get(&id).filter(|o| !o.over && !o.started) else { return };
         let Some(a) = open.out().filter(|_| open.attempts.len() == attempt + 1) else { return };
