Have the flood's stories see a missing look at the client's end

With all four guards against requests of clients that have gone taken out, tests/races.rs a_crowd_that_has_gone passed: where nothing stands behind a request hyper sees the end itself. Every other one has a further request behind it now: without the look as a request is read the story fails (flood-1-0, flood-1-2 and others are sent on). The story of connections whose time is over does the same, and fails where the last look sees no end, provided that the runtime's word of it is taken out as well; each alone is enough.

--- a/tests/races.rs
+++ b/tests/races.rs
@@ -267,7 +267,16 @@
         let conductor = Conductor::with_sockets(&list, 256).await;
         // As many as the system's queue surely has room for.
         for round in 0..4 {
-            all_gone((0..100).map(|n| asks(&conductor.front, &format!("flood-{round}-{n}"))).collect());
+            // A request behind another hides their client's end from hyper.
+            let asks = |n| {
+                let mut stream = asks(&conductor.front, &format!("flood-{round}-{n}"));
+                if n % 2 == 0 {
+                    let behind = platform_request(&format!("behind-{round}-{n}"), "book", 15_000, "{}");
+                    stream.write_all(behind.as_bytes()).expect("the system takes it");
+                }
+                stream
+            };
+            all_gone((0..100).map(asks).collect());
             let id = format!("after-{round}");
             let mut client = conductor.ask(&id, "ask", 4000).await;
             assert!(client.rest_of_answer().await.starts_with("HTTP/1.1 200"));
@@ -278,7 +287,7 @@
 }
 
 /// Failure: the close of a connection whose time is over reads a request for the last time, and does not see that its
-/// client has gone. The system tells that end together with the bytes, so no guard of its own is needed here.
+/// client has gone.
 #[test]
 fn whoever_asks_and_goes_as_its_time_is_over_has_asked_nothing() {
     story(async {
@@ -290,8 +299,9 @@
         // Those who say nothing are closed after 2.2 s. Nobody else on this thread gets a turn around then.
         sleep(Duration::from_millis(2_080)).await;
         for (n, stream) in mute.iter_mut().enumerate() {
-            let request = platform_request(&format!("late-{n}"), "book", 15_000, "{}");
-            let _ = stream.write_all(request.as_bytes());
+            let ask = |id: String| platform_request(&id, "book", 15_000, "{}");
+            let asks = ask(format!("late-{n}")) + &ask(format!("behind-{n}"));
+            let _ = stream.write_all(asks.as_bytes());
         }
         all_gone(mute);
         std::thread::sleep(Duration::from_millis(2_250).saturating_sub(began.elapsed()));
