--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -12,7 +12,7 @@
 
 /// Part of an even share of one choice that a process may draw before it has seen any call borne: of hundreds that start at once
 /// each knows nothing, and what comes then may be twice what the fleet does.
-const FIRST: f64 = 0.5;
+const FIRST: f64 = 0.375;
 /// Part of the same that each new request adds, so that a fleet of which nothing has served yet is tried at all.
 /// Tries again add nothing: what is refused comes several times.
 const TRICKLE: f64 = 1.0 / 16.0;
