Let only a report, not any answer to a probe, make an estimate fresh enough to refuse by

Seen: tests/windows.rs failed (aim 50 ms, probes answered without a report: every request was refused, nothing was ever sent).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -423,7 +423,7 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&reader)) else {
             return false;
         };
-        if !server.fresh(now) && self.out < TO_SEE {
+        if server.reported.is_none_or(|at| at + FRESH <= now) && self.out < TO_SEE {
             return self.thin()
                 && self.load(now, server, 0.0) / self.pace(now, server) > self.bound(&open.request);
         }
