Bound repeats by their window on the way too, and believe only an exact proof of not having run

A repeat was decided within its window (effect_allows) but its connection may come up after it; a request beyond its window waited for a server up to its aim; an 'X-Unprocessed' of any value, and a 202 of a server that does not read, were taken as proof that nothing ran (platform::outcome, Core::on_ended). Change: an attempt after one that may have run is called off if it is not written by the end of the window; beyond it the client is answered at once; only the value 1 is a proof, and a 202 counts for readers alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,8 +307,8 @@
         let Some(open) = self.requests.get(&id) else { return };
         let left = self.settings.limits.attempts.saturating_sub(open.attempts.len() as u32);
         // It may have run and must not run again: its client hears so now, not when its aim has passed.
-        let unsafe_class = self.class(&open.request).effect == Effect::Unsafe;
-        let spent = unsafe_class && open.attempts.iter().any(|a| a.may_have_run);
+        let class = self.class(&open.request);
+        let spent = open.attempts.iter().any(|a| a.may_have_run && now >= class.repeats_until(a.sent));
         if left == 0 || spent || now + self.settings.step >= open.request.expires {
             return self.give_up(id, LOOK_AGAIN, out);
         }
@@ -631,17 +631,13 @@
     /// No effect twice: after an attempt that may have run, only where repeats are harmless or discarded.
     fn effect_allows(&self, now: Micros, entry: &ServerEntry, open: &Open) -> bool {
         let class = self.class(&open.request);
-        open.attempts.iter().filter(|a| a.may_have_run).all(|a| match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed(group) => {
-                let same = match group {
-                    KeyGroup::All => true,
-                    KeyGroup::Zone => a.entry.zone == entry.zone,
-                    KeyGroup::Cell => a.entry.cell == entry.cell,
-                };
-                same && now < a.sent + class.key_window
-            }
+        open.attempts.iter().filter(|a| a.may_have_run).all(|a| {
+            let discards = match class.effect {
+                Effect::Keyed(KeyGroup::Zone) => a.entry.zone == entry.zone,
+                Effect::Keyed(KeyGroup::Cell) => a.entry.cell == entry.cell,
+                Effect::Safe | Effect::Unsafe | Effect::Keyed(KeyGroup::All) => true,
+            };
+            discards && now < class.repeats_until(a.sent)
         })
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -313,6 +313,15 @@
 }
 
 impl Class {
+    /// Until when a request of which an attempt was sent then, and may have run, may be sent again.
+    pub fn repeats_until(&self, sent: Micros) -> Micros {
+        match self.effect {
+            Effect::Safe => Micros::MAX,
+            Effect::Keyed(_) => sent.saturating_add(self.key_window),
+            Effect::Unsafe => 0,
+        }
+    }
+
     /// A safe class with an aim of a second, a deadline of ten and a worth of one.
     pub fn plain() -> Self {
         Class {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -98,7 +98,9 @@
 
 /// How an answer that is no stream ends an attempt.
 pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    match (status.as_u16(), headers.contains_key(UNPROCESSED)) {
+    let mut proofs = headers.get_all(UNPROCESSED).iter().peekable();
+    let unprocessed = proofs.peek().is_some() && proofs.all(|proof| proof == "1");
+    match (status.as_u16(), unprocessed) {
         (202, _) => Outcome::Read,
         (410, true) => Outcome::NoState,
         (503 | 504, true) => Outcome::Full,
--- a/src/protocol/platform/tests.rs
+++ b/src/protocol/platform/tests.rs
@@ -47,8 +47,16 @@
 fn only_an_unprocessed_mark_proves_that_a_request_was_turned_away() {
     let marked = HeaderMap::from_iter([(UNPROCESSED.parse().expect("a name"), http::HeaderValue::from(1))]);
     let plain = HeaderMap::new();
-    let read = |status: u16, headers| outcome(StatusCode::from_u16(status).expect("a status"), headers);
+    let read =
+        |status: u16, headers: &HeaderMap| outcome(StatusCode::from_u16(status).expect("a status"), headers);
     assert_eq!((read(503, &marked), read(503, &plain)), (Outcome::Full, Outcome::Error));
     assert_eq!((read(410, &marked), read(410, &plain)), (Outcome::NoState, Outcome::Error));
     assert_eq!((read(202, &plain), read(500, &marked)), (Outcome::Read, Outcome::Error));
+    for marks in [vec!["0"], vec![""], vec!["1", "0"], vec!["1, 0"]] {
+        let mut other = HeaderMap::new();
+        for mark in &marks {
+            other.append(UNPROCESSED, http::HeaderValue::from_static(mark));
+        }
+        assert_eq!((read(503, &other), read(410, &other)), (Outcome::Error, Outcome::Error), "{marks:?}");
+    }
 }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -361,6 +361,8 @@
         let owned = open.owner == Some(attempt);
         let Some(a) = open.tries.out(attempt) else { return };
         outcome = match outcome {
+            // Only readers read; whatever this is, it proves nothing of what its server has done.
+            Outcome::Read if !a.reads => Outcome::Error,
             // It was called off for a reason that says nothing of its server.
             Outcome::ConnectFailed if a.cancelled && !a.cut && !a.timed_out => Outcome::Cancelled,
             Outcome::Cancelled if a.timed_out => Outcome::TimedOut,
@@ -524,7 +526,12 @@
         // Guards the rules against a send that must not go out: too many, too late, or after the answer.
         let moot = open.over || open.owner.is_some() || open.tries.all.len() >= most || give_up <= now;
         let ended = moot.then_some(Outcome::NotSent);
-        let connect_by = open.tries.connect_by(now, &known.settings.rules).filter(|_| !reads);
+        let class = known.settings.classes.get(usize::from(open.class.0));
+        let repeats_until = class.and_then(|class| open.tries.repeats_until(class));
+        // The way to the server takes time, too.
+        let repeat_by = repeats_until.map(|until| until.saturating_sub(known.settings.step));
+        let fetch_by = open.tries.connect_by(now, &known.settings.rules).filter(|_| !reads);
+        let connect_by = fetch_by.into_iter().chain(repeat_by).min();
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
             return Some(Event::Ended(Ended {
--- a/src/routing/tries.rs
+++ b/src/routing/tries.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request, and what they may have left held at readers.
 
-use crate::interface::{Micros, Outcome, Rules, ServerId};
+use crate::interface::{Class, Micros, Outcome, Rules, ServerId};
 
 /// One attempt.
 pub(super) struct Attempt {
@@ -85,6 +85,14 @@
         read.then_some(now + (until - now) / 2)
     }
 
+    /// Until when another attempt may come to its server, as one before it may have run. A decision within that time
+    /// is not enough: its connection may come up after it.
+    pub fn repeats_until(&self, class: &Class) -> Option<Micros> {
+        let ran = |a: &&Attempt| !a.reads && !a.ended.is_some_and(Outcome::never_ran);
+        let until = self.all.iter().filter(ran).map(|a| class.repeats_until(a.sent)).min();
+        until.filter(|until| *until < Micros::MAX)
+    }
+
     /// The readers at which something may be held: clean reads first, then the rest, the last ones first.
     pub fn holders(&self) -> Vec<ServerId> {
         let readers = || self.all.iter().rev().filter(|a| a.reads);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -354,6 +354,9 @@
             "HTTP/1.1 101 Odd\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n".to_string(),
             "HTTP/7.5 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n".to_string(),
             "HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".to_string(),
+            "HTTP/1.1 503 No\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n".to_string(),
+            // It has a state to fetch, and reads nothing.
+            "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}".to_string(),
             "HTTP/1.1 500 No\r\nContent-Length: 99\r\n\r\nhalf a body, and no more".to_string(),
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Unprocessed: 1\r\n\r\n0\r\n\r\n".to_string(),
         ];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -216,6 +216,27 @@
     }
 }
 
+#[test]
+fn a_request_whose_window_for_repeats_has_passed_is_answered_at_once() {
+    let mut settings = settings();
+    settings.classes[0].effect = Effect::Keyed(KeyGroup::All);
+    settings.classes[0].key_window = 300 * MS;
+    let mut stand =
+        Stand::new(settings, vec![server(0, READER, 0), server(1, WRITER, 0), server(11, WRITER, 0)]);
+    let request = request(1, stand.now);
+    stand.accept(request);
+    stand.end(request.id, Outcome::Read);
+    stand.pass(299 * MS);
+    stand.end(request.id, Outcome::Reset);
+    // A millisecond is left: it goes out once more, and then never again.
+    assert_eq!(stand.sends.len(), 3);
+    stand.pass(MS);
+    stand.end(request.id, Outcome::Reset);
+    assert!(stand.requests[&request.id].over, "nothing can come any more");
+    stand.pass(11 * S);
+    assert_eq!(stand.sends.len(), 3);
+}
+
 #[test]
 fn a_state_at_a_draining_reader_is_still_fetched() {
     let mut stand = Stand::new(settings(), vec![server(0, READER, 0), server(101, WRITER, 1)]);
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -87,6 +87,24 @@
     held: Option<Micros>,
 }
 
+impl Truth {
+    /// Whether this attempt may go out, or come to its server, at this time: also a connection that comes up late must
+    /// not bring a repeat to where it is no longer discarded.
+    fn check_repeat(&self, n: usize, now: Micros, site: &Site) {
+        let (earlier, sent) = (&self.sent[..n], &self.sent[n]);
+        for earlier in earlier.iter().filter(|sent| sent.may_have_run()) {
+            match EFFECTS[site.effects[self.class]] {
+                Effect::Safe => {}
+                Effect::Unsafe => panic!("run twice"),
+                Effect::Keyed(group) => {
+                    let same = group == KeyGroup::All || earlier.server.0 / 100 == sent.server.0 / 100;
+                    assert!(same && now < earlier.at + site.window, "repeated where it is not discarded");
+                }
+            }
+        }
+    }
+}
+
 struct World {
     site: Site,
     core: Core,
@@ -186,7 +204,9 @@
                             return;
                         }
                         sent.written = true;
-                        truth.held = truth.held.filter(|_| sent.reads);
+                        let reads = sent.reads;
+                        truth.check_repeat(*n as usize, self.now, &self.site);
+                        truth.held = truth.held.filter(|_| reads);
                     }
                     Input::Started(id, n) => {
                         let truth = self.truth.get_mut(id).expect("known");
@@ -293,20 +313,8 @@
         assert!(now < truth.expires, "sent after its time");
         assert_eq!(truth.sent.len(), n as usize);
         assert!(n < self.site.attempts, "sent too often");
-        for earlier in truth.sent.iter().filter(|sent| sent.may_have_run()) {
-            match EFFECTS[self.site.effects[truth.class]] {
-                Effect::Safe => {}
-                Effect::Unsafe => panic!("run twice"),
-                Effect::Keyed(group) => {
-                    let same = group == KeyGroup::All || earlier.server.0 / 100 == server.0 / 100;
-                    assert!(
-                        same && now < earlier.at + self.site.window,
-                        "repeated where it is not discarded"
-                    );
-                }
-            }
-        }
         truth.sent.push(Sent { server, at: now, reads, written: false, ended: None });
+        truth.check_repeat(n as usize, now, &self.site);
         let (kind, after) = self.script[self.step % self.script.len()];
         self.step += 1;
         let after = after * MS;
