Never write what is left of a request that has been given up

Cause of the unexplained 'duplicate'. Ruled out: sends twice by the module (one attempt out at most), answers of another request (no second head on 45,000 answers), windows, ids used again. At fault: hyper flushes what it has buffered before it shuts a connection (proto/h1/io.rs, poll_shutdown), so a request that was given up while its connection rested (10 ms, Link::poll_turn) or while its server read nothing was written whole later; a connection to a silent server stayed open for it. Change: whoever gives a request up (a cancel, a time-out, an early answer; also probes and calls that let go) marks its connection, which writes no more and ends. That it has been written is known of the request itself now, not of its connection.

--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -95,14 +95,13 @@
 /// How far the request that is on a connection has got.
 #[derive(Default)]
 struct Progress {
-    /// The body's last byte is in the connection's buffer.
-    handed_over: AtomicBool,
-    /// Since then, all that was buffered has been written.
-    written: AtomicBool,
-    /// Who is told of that, once.
+    /// Who is told, once, that all of it has been written; there from when its last byte is in the connection's buffer.
     tell: Mutex<Option<Told>>,
     /// The last bytes that came do not end a head.
     amid: AtomicBool,
+    /// Nobody waits for the request any more: what has not been written of it must never be. hyper would write what it
+    /// has buffered before it closes, also long after, when the other side reads again.
+    given_up: AtomicBool,
 }
 
 impl Progress {
@@ -141,6 +140,9 @@
 impl Link {
     /// Ready once a request may be written: after the rest of the answer before it, if nothing has come since.
     fn poll_turn(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.given_up.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, "given up")));
+        }
         match &mut self.turn {
             Turn::Asking | Turn::Asked => {}
             Turn::Answered(at) => {
@@ -227,10 +229,8 @@
         if matches!(self.turn, Turn::Asking) {
             self.turn = Turn::Asked;
         }
-        if self.progress.handed_over.load(Ordering::Relaxed)
-            && !self.progress.written.swap(true, Ordering::Relaxed)
-            && let Some(tell) = self.progress.told().take()
-        {
+        let tell = self.progress.told().take();
+        if let Some(tell) = tell {
             tell();
         }
         Pin::new(&mut self.io).poll_flush(cx)
@@ -245,34 +245,35 @@
 pub struct Tracked {
     body: Option<Bytes>,
     link: Option<CaptureConnection>,
-    asked: Arc<AtomicBool>,
+    /// Who is to be told that it has been written, until it is handed over.
     tell: Mutex<Option<Told>>,
 }
 
 impl Tracked {
     /// An empty body, whose fate does not matter.
     pub fn empty() -> Self {
-        Tracked { body: None, link: None, asked: Arc::default(), tell: Mutex::default() }
+        Tracked { body: None, link: None, tell: Mutex::default() }
     }
 
     /// Gives a request its body, what is called when the last byte of that is written, and what will tell its fate.
     pub fn attach(mut head: http::Request<()>, body: Bytes, tell: Told) -> (http::Request<Tracked>, Fate) {
-        let (link, asked) = (capture_connection(&mut head), Arc::<AtomicBool>::default());
-        let (of_body, tell) = (Some(link.clone()), Mutex::new(Some(tell)));
-        let body = Tracked { body: Some(body), link: of_body, asked: asked.clone(), tell };
-        (head.map(|()| body), Fate { link, asked })
+        let (link, written) = (capture_connection(&mut head), Arc::<AtomicBool>::default());
+        let mark = written.clone();
+        let tell: Told = Box::new(move || {
+            mark.store(true, Ordering::Relaxed);
+            tell();
+        });
+        let body = Tracked { body: Some(body), link: Some(link.clone()), tell: Mutex::new(Some(tell)) };
+        (head.map(|()| body), Fate { link, written })
     }
 
     /// From now on all of the request stands in the connection's buffer.
     fn hand_over(&self) {
         let Some(progress) = self.link.as_ref().and_then(progress) else { return };
-        if self.asked.swap(true, Ordering::Relaxed) {
-            return;
+        if let Some(tell) = self.tell.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            progress.amid.store(false, Ordering::Relaxed);
+            *progress.told() = Some(tell);
         }
-        progress.written.store(false, Ordering::Relaxed);
-        progress.amid.store(false, Ordering::Relaxed);
-        *progress.told() = self.tell.lock().unwrap_or_else(PoisonError::into_inner).take();
-        progress.handed_over.store(true, Ordering::Relaxed);
     }
 }
 
@@ -308,10 +309,17 @@
     extras.get::<Arc<Progress>>().cloned()
 }
 
-/// Tells how far a request got once it has failed.
+/// Tells how far a request got once it has failed. Whoever drops it gives the request up: what has not been written of
+/// it by then never is.
 pub struct Fate {
     link: CaptureConnection,
-    asked: Arc<AtomicBool>,
+    written: Arc<AtomicBool>,
+}
+
+impl Drop for Fate {
+    fn drop(&mut self) {
+        self.give_up();
+    }
 }
 
 impl Fate {
@@ -322,9 +330,16 @@
 
     /// Whether the last byte of the request was written before this error: only then may it have run.
     pub fn may_have_run(&self, error: &Error) -> bool {
-        !error.is_connect()
-            && self.asked.load(Ordering::Relaxed)
-            && progress(&self.link).is_some_and(|progress| progress.written.load(Ordering::Relaxed))
+        !error.is_connect() && self.written.load(Ordering::Relaxed)
+    }
+
+    /// Has nothing more of the request written. The connection is its own for as long as it is not written whole.
+    pub fn give_up(&self) {
+        if !self.written.load(Ordering::Relaxed)
+            && let Some(progress) = progress(&self.link)
+        {
+            progress.given_up.store(true, Ordering::Relaxed);
+        }
     }
 
     /// Ends when a head has begun and does not go on to its end. Answers ahead (1xx) are heads of their own.
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -251,7 +251,10 @@
         let end = match self.message(attempt) {
             // Leaving the call drops its connection, so that the server sees the end.
             Some((message, fate)) => {
-                match select(cancelled, Box::pin(self.call(message, &fate, (request, number)))).await {
+                let ended = select(cancelled, Box::pin(self.call(message, &fate, (request, number)))).await;
+                // Before the call is left: whatever is told of it from here on, it gets no further.
+                fate.give_up();
+                match ended {
                     Either::Left(_) if !fate.connected() => End::of(Outcome::ConnectFailed),
                     Either::Left(_) => End::of(Outcome::Cancelled),
                     Either::Right((end, _)) => end,
@@ -417,10 +420,10 @@
     }
 
     async fn ask(&self) -> (Outcome, Option<Report>) {
-        let Some(request) = self.addressed(Request::new(Tracked::empty()), self.common.dialect.probe())
-        else {
+        let Some(head) = self.addressed(Request::new(()), self.common.dialect.probe()) else {
             return (Outcome::ConnectFailed, None);
         };
+        let (request, _fate) = Tracked::attach(head, Bytes::new(), Box::new(|| {}));
         let response = match self.common.client.request(request).await {
             Ok(response) => response,
             Err(error) if error.is_connect() => return (Outcome::ConnectFailed, None),
@@ -440,7 +443,7 @@
 
     async fn post(&self, payload: &Payload) {
         let Some(head) = self.addressed(payload.head(), &payload.path) else { return };
-        let (message, _) = Tracked::attach(head, payload.body.clone(), Box::new(|| {}));
+        let (message, _fate) = Tracked::attach(head, payload.body.clone(), Box::new(|| {}));
         let within = Duration::from_micros(self.common.links.idle);
         let call = async {
             let response = self.common.client.request(message).await.ok()?;
@@ -456,8 +459,10 @@
     }
 
     async fn lease(&self, method: Method, id: &str) -> Option<StatusCode> {
-        let mut request = self.addressed(Request::new(Tracked::empty()), &format!("/kv/leases/{id}"))?;
-        *request.method_mut() = method;
+        let mut head = self.addressed(Request::new(()), &format!("/kv/leases/{id}"))?;
+        *head.method_mut() = method;
+        // One that is given up must not let go later of what is held anew.
+        let (request, _fate) = Tracked::attach(head, Bytes::new(), Box::new(|| {}));
         let response = self.common.client.request(request).await.ok()?;
         let status = response.status();
         // Reading the body to its end gives the connection back.
