--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,8 +2,11 @@
 
 mod peers;
 
+use std::time::{Duration, Instant};
+
 use peers::*;
 use serde_json::json;
+use tokio::time::sleep;
 
 async fn read(reader: &mut Peer) {
     reader.next().await.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
@@ -36,6 +39,36 @@
 }
 
 /// Failure: a booking goes out again, or is called harmless, though its writer may have run it.
+/// Failure: a further attempt tells its server the time that the first one had.
+#[test]
+fn each_attempt_tells_at_most_what_is_left_to_its_client() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let began = Instant::now();
+        let _client = conductor.ask("c1", "ask", 3000).await;
+        let mut told = Vec::new();
+        for refused in [true, false] {
+            let mut seen = reader.next().await;
+            told.push((began.elapsed(), seen.head.clone()));
+            sleep(Duration::from_millis(200)).await;
+            match refused {
+                true => seen.answer("500 Internal Server Error", "", "").await,
+                false => seen.answer("202 Accepted", "", "{}").await,
+            }
+            seen.go_on();
+        }
+        let seen = writer.next().await;
+        told.push((began.elapsed(), seen.head.clone()));
+        for (passed, head) in &told {
+            let says: u64 = header(head, "x-time-left-ms").expect("time left").parse().expect("a number");
+            // The client's own way is in neither; reading the story's clock comes after the attempt was sent.
+            let left = Duration::from_secs(3).saturating_sub(*passed) + Duration::from_millis(100);
+            assert!(Duration::from_millis(says) <= left, "{says} ms told after {passed:?}");
+        }
+        assert!(told[2].0 >= Duration::from_millis(400), "each took its time");
+    });
+}
+
 #[test]
 fn a_booking_whose_writer_dies_is_failed_and_never_sent_again() {
     story(async {
