Reset the connection of a request that is given up, so that the system sends no more of it

What is left is the system's own buffer: after a plain close it goes on sending what a silent server has not acknowledged, also once a cut network is back. Change: the connection of a request that was called off is reset. A connection that has gone on to another request is left alone (serial). Measured: a request of 200 kB that a server had not read came whole after it was given up; with the reset it does not (tests/given_up.rs).

--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -99,15 +99,22 @@
     tell: Mutex<Option<Told>>,
     /// The last bytes that came do not end a head.
     amid: AtomicBool,
-    /// Nobody waits for the request any more: what has not been written of it must never be. hyper would write what it
-    /// has buffered before it closes, also long after, when the other side reads again.
-    given_up: AtomicBool,
+    /// Which request has the connection, as it was handed over last; 0 before the first.
+    carries: AtomicU64,
+    /// Which one has been given up: nothing more of it may come to the server.
+    given_up: AtomicU64,
 }
 
 impl Progress {
     fn told(&self) -> MutexGuard<'_, Option<Told>> {
         self.tell.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Whether nobody waits for the request that it carries any more.
+    fn given_up(&self) -> bool {
+        let given_up = self.given_up.load(Ordering::Relaxed);
+        given_up > 0 && given_up == self.carries.load(Ordering::Relaxed)
+    }
 }
 
 /// Whose turn it is on a connection.
@@ -140,7 +147,8 @@
 impl Link {
     /// Ready once a request may be written: after the rest of the answer before it, if nothing has come since.
     fn poll_turn(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.given_up.load(Ordering::Relaxed) {
+        // hyper would write what it has buffered before it closes, also long after, when the other side reads again.
+        if self.progress.given_up() {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, "given up")));
         }
         match &mut self.turn {
@@ -237,22 +245,39 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.given_up() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
 
+impl Drop for Link {
+    /// The system would go on sending what a silent server has not acknowledged, also once a cut network is back, and
+    /// the request would run then. A reset drops it.
+    fn drop(&mut self) {
+        if self.progress.given_up() {
+            let _ = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// A body that marks on its connection when it has been handed over.
 pub struct Tracked {
     body: Option<Bytes>,
     link: Option<CaptureConnection>,
+    serial: u64,
     /// Who is to be told that it has been written, until it is handed over.
     tell: Mutex<Option<Told>>,
 }
 
+/// The serial number of the next request.
+static SERIAL: AtomicU64 = AtomicU64::new(1);
+
 impl Tracked {
     /// An empty body, whose fate does not matter.
     pub fn empty() -> Self {
-        Tracked { body: None, link: None, tell: Mutex::default() }
+        Tracked { body: None, link: None, serial: 0, tell: Mutex::default() }
     }
 
     /// Gives a request its body, what is called when the last byte of that is written, and what will tell its fate.
@@ -263,8 +288,10 @@
             mark.store(true, Ordering::Relaxed);
             tell();
         });
-        let body = Tracked { body: Some(body), link: Some(link.clone()), tell: Mutex::new(Some(tell)) };
-        (head.map(|()| body), Fate { link, written })
+        let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+        let body =
+            Tracked { body: Some(body), link: Some(link.clone()), serial, tell: Mutex::new(Some(tell)) };
+        (head.map(|()| body), Fate { link, serial, written })
     }
 
     /// From now on all of the request stands in the connection's buffer.
@@ -272,6 +299,7 @@
         let Some(progress) = self.link.as_ref().and_then(progress) else { return };
         if let Some(tell) = self.tell.lock().unwrap_or_else(PoisonError::into_inner).take() {
             progress.amid.store(false, Ordering::Relaxed);
+            progress.carries.store(self.serial, Ordering::Relaxed);
             *progress.told() = Some(tell);
         }
     }
@@ -309,16 +337,18 @@
     extras.get::<Arc<Progress>>().cloned()
 }
 
-/// Tells how far a request got once it has failed. Whoever drops it gives the request up: what has not been written of
-/// it by then never is.
+/// Tells how far a request got once it has failed. Whoever drops it gives up what has not been written by then.
 pub struct Fate {
     link: CaptureConnection,
+    serial: u64,
     written: Arc<AtomicBool>,
 }
 
 impl Drop for Fate {
     fn drop(&mut self) {
-        self.give_up();
+        if !self.written.load(Ordering::Relaxed) {
+            self.give_up();
+        }
     }
 }
 
@@ -333,12 +363,11 @@
         !error.is_connect() && self.written.load(Ordering::Relaxed)
     }
 
-    /// Has nothing more of the request written. The connection is its own for as long as it is not written whole.
+    /// Has nothing more of the request come to its server: its connection writes no more, and is reset as it closes.
+    /// Where the connection has gone on to another request, that one is left alone.
     pub fn give_up(&self) {
-        if !self.written.load(Ordering::Relaxed)
-            && let Some(progress) = progress(&self.link)
-        {
-            progress.given_up.store(true, Ordering::Relaxed);
+        if let Some(progress) = progress(&self.link) {
+            progress.given_up.store(self.serial, Ordering::Relaxed);
         }
     }
 
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -253,7 +253,9 @@
             Some((message, fate)) => {
                 let ended = select(cancelled, Box::pin(self.call(message, &fate, (request, number)))).await;
                 // Before the call is left: whatever is told of it from here on, it gets no further.
-                fate.give_up();
+                if matches!(ended, Either::Left(_)) {
+                    fate.give_up();
+                }
                 match ended {
                     Either::Left(_) if !fate.connected() => End::of(Outcome::ConnectFailed),
                     Either::Left(_) => End::of(Outcome::Cancelled),
--- a/tests/given_up.rs
+++ b/tests/given_up.rs
@@ -11,7 +11,7 @@
 use milletseam::protocol::settings::Links;
 use milletseam::transport::peer::connector::{self, REST, Tracked};
 use peers::*;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -63,6 +63,35 @@
     });
 }
 
+/// Failure: a request is written whole, given up while its server has not read it, and goes on to it from the system's
+/// buffers, also once a cut network is back, where it runs beside the next attempt.
+#[test]
+fn a_request_given_up_in_the_systems_buffers_never_comes_whole() {
+    story(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        // Little fits into the server's side, so that the rest stays in the sender's.
+        socket.set_recv_buffer_size(4096).expect("an option");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(8).expect("a listener");
+        let address = listener.local_addr().expect("an address").to_string();
+        let client = client();
+        let (message, fate) = post(&address, Bytes::from(vec![b'x'; 200_000]));
+        let mut call = Box::pin(client.request(message));
+        let stream = tokio::select! {
+            _ = &mut call => panic!("nobody has answered"),
+            accepted = listener.accept() => accepted.expect("a connection").0,
+        };
+        let _ = timeout(Duration::from_millis(100), &mut call).await;
+        fate.give_up();
+        drop((call, fate));
+        // The connection's own task ends it.
+        sleep(Duration::from_millis(20)).await;
+        let mut wire = Wire::of(stream);
+        let came = timeout(Duration::from_secs(5), wire.message()).await.expect("the connection ends");
+        assert!(came.is_none(), "all of it has come");
+    });
+}
+
 /// Failure: a request waits on a connection that rests after an answer, is given up there, and is written all the same
 /// once the rest is over.
 #[test]
