Call the release of what is held so in the core, the peers, the log and their tests

Need: a house word hid the field's term, and the code around it was touched. No change of behaviour: names only (LetGo becomes Release, its answer Released; the log says 'release').

--- a/crates/lab/src/engine/server.rs
+++ b/crates/lab/src/engine/server.rs
@@ -241,9 +241,9 @@
         match input {
             Input::Arrive(job) => self.arrive(job, out),
             Input::Cancel(id) => self.cancel(id),
-            Input::Release(id) => self.let_go(|_, job| job.id == id),
+            Input::Release(id) => self.release(|_, job| job.id == id),
             Input::Wake => {
-                self.let_go(|until, _| until <= now);
+                self.release(|until, _| until <= now);
                 if self.step.as_ref().is_some_and(|step| step.until <= now) {
                     self.end_step(now, out);
                 }
@@ -396,10 +396,10 @@
                 false => self.memory.shrink(work.own),
             }
         }
-        self.let_go(|_, job| job.id == id);
+        self.release(|_, job| job.id == id);
     }
 
-    fn let_go(&mut self, wanted: impl Fn(Micros, &Job) -> bool) {
+    fn release(&mut self, wanted: impl Fn(Micros, &Job) -> bool) {
         let all = std::mem::take(&mut self.held).into_iter();
         let (gone, rest): (Vec<_>, Vec<_>) = all.partition(|(at, job)| wanted(*at, job));
         self.held = rest;
--- a/crates/lab/src/policy/plain.rs
+++ b/crates/lab/src/policy/plain.rs
@@ -135,7 +135,7 @@
             out.push(Output::Cancel(id, open.sent.len() as u32 - 1));
         }
         if let Some(reader) = open.read_at {
-            out.push(Output::LetGo(POOL, id, reader));
+            out.push(Output::Release(POOL, id, reader));
         }
         let (may_have_run, overdue) = (open.may_have_run, now >= open.expires);
         let open = &self.open[&id];
@@ -207,7 +207,7 @@
             }
             Input::Ended { request, outcome, .. } => self.ended(now, request, outcome, out),
             Input::Gone(id) => self.give_up(now, id, out),
-            Input::Probed { .. } | Input::Place(..) | Input::LetGo(..) => {}
+            Input::Probed { .. } | Input::Place(..) | Input::Released(..) => {}
         }
     }
 
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -392,7 +392,7 @@
                     self.answer(number(request), "failed");
                 }
                 // Whoever is asked passes it on to all.
-                CoreOutput::LetGo(_, request, _) => {
+                CoreOutput::Release(_, request, _) => {
                     let (n, mut held) = (number(request), Vec::new());
                     for (holder, engine) in self.engines.iter().enumerate() {
                         let reads = (0..8).map(|attempt| job(n, attempt)).filter(|id| engine.holds(*id));
@@ -402,7 +402,7 @@
                         self.soon(self.now + WAY, Next::ToEngine(holder, Input::Release(id)));
                     }
                     let conductor = self.arrivals[n].conductor;
-                    let took = CoreInput::LetGo(request, true);
+                    let took = CoreInput::Released(request, true);
                     self.soon(self.now + 2 * WAY, Next::ToConductor(conductor, took));
                 }
                 CoreOutput::Probe(pool, server) => {
--- a/src/expect/judge.rs
+++ b/src/expect/judge.rs
@@ -156,8 +156,8 @@
     for (n, sent) in story.sent.iter().enumerate() {
         let Some(ended) = sent.ended.filter(|ended| *ended >= first && !fetched(sent)) else { continue };
         let next = story.sent.get(n + 1).map(|next| next.at);
-        let let_go = story.released.iter().copied().find(|at| *at >= ended);
-        let until = next.into_iter().chain(let_go).min().unwrap_or(Micros::MAX);
+        let released = story.released.iter().copied().find(|at| *at >= ended);
+        let until = next.into_iter().chain(released).min().unwrap_or(Micros::MAX);
         longest = longest.max(until - ended);
     }
     Some(longest)
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -102,7 +102,7 @@
     Came(usize, usize),
     Ended { of: usize, request: RequestId, attempt: u32, outcome: Outcome, kept: u64 },
     Written { of: usize, request: RequestId, attempt: u32 },
-    LetGo { of: usize, request: RequestId },
+    Release { of: usize, request: RequestId },
     Started { of: usize, request: RequestId, attempt: u32 },
     Probed { of: usize, server: ServerId },
     Listed(usize),
@@ -257,8 +257,8 @@
                 self.conductors[of].handle(now, Input::Written(request, attempt), &mut out);
                 of
             }
-            Next::LetGo { of, request } => {
-                self.conductors[of].handle(now, Input::LetGo(request, true), &mut out);
+            Next::Release { of, request } => {
+                self.conductors[of].handle(now, Input::Released(request, true), &mut out);
                 of
             }
             Next::Started { of, request, attempt } => {
@@ -318,8 +318,8 @@
                 self.answer(request, at, Answer::Failed { may_have_run });
             }
             Output::Probe(_, server) => self.soon(self.now + ROUND_TRIP, Next::Probed { of, server }),
-            Output::LetGo(_, request, _) => {
-                self.soon(self.now + ROUND_TRIP, Next::LetGo { of, request });
+            Output::Release(_, request, _) => {
+                self.soon(self.now + ROUND_TRIP, Next::Release { of, request });
                 if let Some(story) = self.story(request) {
                     story.released.push(at);
                 }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -72,7 +72,7 @@
         report: Option<Report>,
     },
     /// A call to let go of what is held for a request has ended; whether the server took it.
-    LetGo(RequestId, bool),
+    Released(RequestId, bool),
     /// A place asked for ahead is held, or not.
     Place(RequestId, ServerId, bool),
     /// The client has left.
@@ -112,8 +112,8 @@
         /// Its time was over.
         overdue: bool,
     },
-    /// Ask this server to let go of all that is held for the request; the end is owed as [`Input::LetGo`].
-    LetGo(PoolId, RequestId, ServerId),
+    /// Ask this server to let go of all that is held for the request; the end is owed as [`Input::Released`].
+    Release(PoolId, RequestId, ServerId),
     /// Hold a place.
     Hold(PoolId, RequestId, ServerId),
     /// Probe a server.
@@ -137,7 +137,7 @@
     over: bool,
     /// When what a read may have left is let go of once more.
     again: Option<Micros>,
-    letting_go: Option<Release>,
+    releasing: Option<Release>,
     /// Nobody had taken a call to let go yet as a server got the next attempt.
     broken_off: bool,
 }
@@ -150,7 +150,7 @@
 
     /// No attempt is out, and what was held is let go of.
     fn idle(&self) -> bool {
-        !self.tries.any_out() && self.again.is_none() && self.letting_go.is_none()
+        !self.tries.any_out() && self.again.is_none() && self.releasing.is_none()
     }
 }
 
@@ -159,7 +159,7 @@
     GiveUp(RequestId, u32),
     Connect(RequestId, u32),
     Again(RequestId),
-    LetGo(RequestId),
+    Release(RequestId),
 }
 
 struct Pool {
@@ -255,11 +255,11 @@
                     open.again = None;
                     // A state that was read since then is waited for, or about to be.
                     if open.over || open.lies_bare() {
-                        self.let_go(now, id, out);
+                        self.start_release(now, id, out);
                     }
                     self.forget(id, out);
                 }
-                Due::LetGo(id) => self.ask_to_let_go(id, |let_go, ask| let_go.tick(now, ask), out),
+                Due::Release(id) => self.ask_to_release(id, |release, ask| release.tick(now, ask), out),
             }
         }
     }
@@ -282,9 +282,9 @@
             Input::Written(id, attempt) => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 // A server has it: what it leaves must not be taken from it by a call for what was held before.
-                let let_go = open.letting_go.take();
-                open.broken_off |= let_go.is_some() && !open.over;
-                open.letting_go = let_go.filter(|_| open.over);
+                let release = open.releasing.take();
+                open.broken_off |= release.is_some() && !open.over;
+                open.releasing = release.filter(|_| open.over);
                 let attempt = open.tries.all.get_mut(attempt as usize);
                 if attempt.is_some_and(|a| !std::mem::replace(&mut a.written, true)) {
                     self.totals.written += 1;
@@ -299,8 +299,8 @@
                 }
                 self.drive(now, pool, Event::Probed { server, outcome, took, report }, out);
             }
-            Input::LetGo(id, took) => {
-                self.ask_to_let_go(id, |let_go, ask| let_go.ended(now, took, ask), out);
+            Input::Released(id, took) => {
+                self.ask_to_release(id, |release, ask| release.ended(now, took, ask), out);
             }
             Input::Place(request, server, held) => {
                 if let Some(pool) = self.open.get(&request).map(|open| open.pool) {
@@ -321,9 +321,9 @@
         let Admission { pool, mut request, time_left } = admission;
         request.expires = now.saturating_add(time_left);
         let (id, class, expires) = (request.id, request.class, request.expires);
-        let (tries, owner, again, letting_go) = (Tries::default(), None, None, None);
+        let (tries, owner, again, releasing) = (Tries::default(), None, None, None);
         let (over, broken_off) = (false, false);
-        let open = Open { pool, class, expires, tries, owner, over, again, letting_go, broken_off };
+        let open = Open { pool, class, expires, tries, owner, over, again, releasing, broken_off };
         self.open.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), out);
@@ -343,7 +343,7 @@
         }
         let took = now.saturating_sub(a.sent);
         open.owner = Some(attempt);
-        (open.letting_go, open.broken_off) = (None, false);
+        (open.releasing, open.broken_off) = (None, false);
         out.push(Output::Relay(id, attempt));
         self.hear(now, pool, server);
         self.drive(now, pool, Event::Started { request: id, attempt, server, took }, out);
@@ -564,12 +564,12 @@
             open.again = Some(now + after);
             self.wake(now + after, Due::Again(id));
         }
-        self.let_go(now, id, out);
+        self.start_release(now, id, out);
     }
 
     /// Has servers asked to let go of what is held: first those that may hold it, then whoever was heard last, as the
     /// likeliest to run and to have a connection.
-    fn let_go(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+    fn start_release(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(pool) = self.pools.get(usize::from(open.pool.0)) else { return };
         let mut order = open.tries.holders();
@@ -583,26 +583,26 @@
         others.sort_by_key(|server| Reverse(pool.heard.get(server)));
         order.extend(others);
         let rules = pool.settings.rules;
-        open.letting_go = Some(Release::new(now, order, rules.release_within - rules.held_for()));
-        self.ask_to_let_go(id, |let_go, ask| let_go.tick(now, ask), out);
+        open.releasing = Some(Release::new(now, order, rules.release_within - rules.held_for()));
+        self.ask_to_release(id, |release, ask| release.tick(now, ask), out);
     }
 
-    fn ask_to_let_go(
+    fn ask_to_release(
         &mut self,
         id: RequestId,
         step: impl FnOnce(&mut Release, &mut Vec<ServerId>),
         out: &mut Vec<Output>,
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let (Some(let_go), pool, mut ask) = (&mut open.letting_go, open.pool, Vec::new()) else { return };
-        step(let_go, &mut ask);
-        let (done, due) = (let_go.done(), let_go.next_due().filter(|_| !ask.is_empty()));
-        out.extend(ask.into_iter().map(|server| Output::LetGo(pool, id, server)));
+        let (Some(release), pool, mut ask) = (&mut open.releasing, open.pool, Vec::new()) else { return };
+        step(release, &mut ask);
+        let (done, due) = (release.done(), release.next_due().filter(|_| !ask.is_empty()));
+        out.extend(ask.into_iter().map(|server| Output::Release(pool, id, server)));
         if done {
-            open.letting_go = None;
+            open.releasing = None;
             self.forget(id, out);
         } else if let Some(due) = due {
-            self.wake(due, Due::LetGo(id));
+            self.wake(due, Due::Release(id));
         }
     }
 
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -224,12 +224,12 @@
             Output::Fail { request, may_have_run, overdue } => {
                 self.answer(request, Reply::Failed { may_have_run, overdue });
             }
-            Output::LetGo(pool, request, server) => {
+            Output::Release(pool, request, server) => {
                 let Some(held) = self.held.get(&request) else { return };
                 let id = held.payload.id.clone();
                 match self.peer(pool, server) {
-                    Some(peer) => tell(&peer, ToPeer::LetGo(request, id)).await,
-                    None => self.again([Input::LetGo(request, false)]),
+                    Some(peer) => tell(&peer, ToPeer::Release(request, id)).await,
+                    None => self.again([Input::Released(request, false)]),
                 }
             }
             Output::Hold(pool, request, server) => {
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -36,7 +36,7 @@
 /// The head of an answer comes with the first token: its first event, or its short body, is as good as here (a guess).
 const FIRST_EVENT: Duration = Duration::from_millis(1_000);
 /// A call that lets go of a state is given up after this: others have long been asked.
-const LET_GO_WITHIN: Duration = Duration::from_millis(500);
+const RELEASE_WITHIN: Duration = Duration::from_millis(500);
 
 /// What a peer is asked to do.
 pub enum ToPeer {
@@ -49,7 +49,7 @@
     /// Probe.
     Probe,
     /// Let go of what is held for the request under this id.
-    LetGo(RequestId, String),
+    Release(RequestId, String),
     /// Hold a place under this id.
     Hold(RequestId, String),
     /// Close idle connections.
@@ -172,16 +172,16 @@
                     None
                 });
             }
-            Some(ToPeer::LetGo(request, id)) => {
+            Some(ToPeer::Release(request, id)) => {
                 calls.spawn(async move {
                     let call = one.lease(Method::DELETE, &id);
-                    let status = tokio::time::timeout(LET_GO_WITHIN, call).await.ok().flatten();
+                    let status = tokio::time::timeout(RELEASE_WITHIN, call).await.ok().flatten();
                     tracing::debug!(
                         target: "birchspur::attempt",
                         { request.id = id.as_str(), server.address = one.address.as_str(), ?status },
-                        "let go"
+                        "release"
                     );
-                    one.report(Input::LetGo(request, status.is_some())).await;
+                    one.report(Input::Released(request, status.is_some())).await;
                     None
                 });
             }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -212,7 +212,7 @@
         if began.elapsed() >= REST {
             return false;
         }
-        assert!(reader.next_let_go().await.starts_with("DELETE /kv/leases/b1 "));
+        assert!(reader.next_release().await.starts_with("DELETE /kv/leases/b1 "));
         true
     }));
 }
@@ -481,8 +481,8 @@
         reader.reads().await;
         let mut seen = writer.next().await;
         // Beyond the 300 ms for which a state may wait.
-        let let_go = timeout(Duration::from_millis(500), reader.next_let_go()).await;
-        assert!(let_go.is_err(), "{let_go:?}");
+        let released = timeout(Duration::from_millis(500), reader.next_release()).await;
+        assert!(released.is_err(), "{released:?}");
         seen.begin().await;
         seen.chunk("data: [DONE]\n\n").await;
         seen.end().await;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -127,13 +127,13 @@
                 let _left = client.go(going).await;
                 assert_eq!(seen.wire.rest().await, "", "the attempt is closed: {going:?}, {m}");
                 assert!(went.elapsed() < Duration::from_secs(1), "{:?}: {going:?}, {m}", went.elapsed());
-                let let_go = format!("DELETE /kv/leases/g{n}-{m} ");
+                let release = format!("DELETE /kv/leases/g{n}-{m} ");
                 // What a read may have left is let go of twice.
                 while !tokio::select! {
-                    head = reader.next_let_go() => head,
-                    head = other.next_let_go() => head,
+                    head = reader.next_release() => head,
+                    head = other.next_release() => head,
                 }
-                .starts_with(&let_go)
+                .starts_with(&release)
                 {}
             }
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -66,7 +66,7 @@
 
 /// Who is asked to let go.
 fn asked(out: &[Output]) -> Vec<u32> {
-    let server = |o: &Output| if let Output::LetGo(_, _, server) = o { Some(server.0) } else { None };
+    let server = |o: &Output| if let Output::Release(_, _, server) = o { Some(server.0) } else { None };
     out.iter().filter_map(server).collect()
 }
 
@@ -112,12 +112,12 @@
     let mut stand = Stand::new(Effect::Safe);
     let (id, _) = stand.request();
     let out = stand.input(Input::Gone(id));
-    assert!(matches!(out[..], [Output::Cancel(..), Output::LetGo(_, _, ServerId(1))]), "{out:?}");
+    assert!(matches!(out[..], [Output::Cancel(..), Output::Release(_, _, ServerId(1))]), "{out:?}");
     let out = stand.ended(id, 0, Outcome::Cancelled);
     assert!(!out.contains(&Output::Forget(id)), "{out:?}");
-    assert_eq!(stand.input(Input::LetGo(id, true)), [], "it is let go of once more");
+    assert_eq!(stand.input(Input::Released(id, true)), [], "it is let go of once more");
     assert_eq!(asked(&stand.tick(stand.now + 150 * MS)), [1]);
-    assert_eq!(stand.input(Input::LetGo(id, true)), [Output::Forget(id)]);
+    assert_eq!(stand.input(Input::Released(id, true)), [Output::Forget(id)]);
 }
 
 /// Failure: a reader's connection breaks just as its read has ended, no other reader is there, and the state
@@ -148,7 +148,7 @@
         let mut out = stand.ended(id, 0, Outcome::Read);
         let read_at = stand.now;
         let mut tried = 0;
-        let let_go_at = loop {
+        let release_at = loop {
             assert!(stand.now < read_at + S, "{silent} silent writers: it stays pinned");
             if let Some(Output::Send { attempt, .. }) = out.iter().find(|o| matches!(o, Output::Send { .. }))
             {
@@ -162,7 +162,7 @@
                 _ => stand.tick(stand.core.next_due().expect("its time runs")),
             };
         };
-        let took = let_go_at - read_at;
+        let took = release_at - read_at;
         assert!(took < 500 * MS && tried > 0, "{silent} silent writers: {took} us, {tried} tried");
     }
 }
@@ -209,7 +209,7 @@
     stand.written(id, 2);
     stand.ended(id, 2, Outcome::Full);
     assert_eq!(asked(&stand.tick(stand.now + 150 * MS)).first(), Some(&1));
-    assert_eq!(stand.input(Input::LetGo(id, true)), []);
+    assert_eq!(stand.input(Input::Released(id, true)), []);
     assert_eq!(asked(&stand.tick(stand.now + 300 * MS)), Vec::<u32>::new(), "somebody has taken it");
 }
 
--- a/tests/dials.rs
+++ b/tests/dials.rs
@@ -124,7 +124,7 @@
         seen.answer("202 Accepted", "", "{}").await;
         let read = Stopwatch::start();
         seen.go_on();
-        assert!(reader.next_let_go().await.starts_with("DELETE /kv/leases/b1 "));
+        assert!(reader.next_release().await.starts_with("DELETE /kv/leases/b1 "));
         // 300 ms by the settings, and 300 ms more by the platform's protocol.
         assert!(read.elapsed() < Duration::from_millis(600), "{:?}", read.elapsed());
         let again = async {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -178,7 +178,7 @@
 pub struct Peer {
     pub address: String,
     seen: mpsc::UnboundedReceiver<Seen>,
-    let_go: mpsc::UnboundedReceiver<String>,
+    released: mpsc::UnboundedReceiver<String>,
     listening: JoinHandle<()>,
     stopped: Option<Reserved>,
 }
@@ -197,19 +197,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let (seen, sees) = mpsc::unbounded_channel();
-        let (let_go, lets_go) = mpsc::unbounded_channel();
+        let (released, releases) = mpsc::unbounded_channel();
         let listening = tokio::spawn(async move {
             // Connections end with the listener: one that was kept after a probe would outlive its process.
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                let (seen, let_go) = (seen.clone(), let_go.clone());
+                let (seen, released) = (seen.clone(), released.clone());
                 connections.spawn(async move {
                     let mut wire = Wire { stream, ahead: Vec::new() };
                     loop {
                         let Some((head, body)) = wire.message().await else { return };
                         if head.starts_with("DELETE /kv/leases/") {
                             wire.write("HTTP/1.1 204 No Content\r\n\r\n").await;
-                            let _ = let_go.send(head);
+                            let _ = released.send(head);
                         } else if head.starts_with("GET /alive") || head.starts_with("GET /metrics/load") {
                             let report = "TEXT util=0.1, queue=0, x0=0.2";
                             let length = report.len();
@@ -225,7 +225,7 @@
                 });
             }
         });
-        Peer { address, seen: sees, let_go: lets_go, listening, stopped: None }
+        Peer { address, seen: sees, released: releases, listening, stopped: None }
     }
 
     pub async fn next(&mut self) -> Seen {
@@ -233,8 +233,8 @@
     }
 
     /// The head of the next call to let go of a state.
-    pub async fn next_let_go(&mut self) -> String {
-        self.let_go.recv().await.expect("the peer runs")
+    pub async fn next_release(&mut self) -> String {
+        self.released.recv().await.expect("the peer runs")
     }
 
     /// Requests that have come and were not looked at.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -145,7 +145,7 @@
         let mut seen = reader.next().await;
         drop(client);
         assert_eq!(seen.wire.rest().await, "", "the connection is closed");
-        assert!(reader.next_let_go().await.starts_with("DELETE /kv/leases/c1 "));
+        assert!(reader.next_release().await.starts_with("DELETE /kv/leases/c1 "));
 
         let mut client = conductor.ask("c2", "ask", 4000).await;
         read(&mut reader).await;
@@ -183,7 +183,7 @@
         // The read is still out, so this is no promise that trying again is harmless.
         assert!(head.starts_with("HTTP/1.1 504"), "{head}");
         assert_eq!(seen.wire.rest().await, "", "the connection is closed");
-        assert!(reader.next_let_go().await.starts_with("DELETE /kv/leases/b1 "));
+        assert!(reader.next_release().await.starts_with("DELETE /kv/leases/b1 "));
     });
 }
 
@@ -331,7 +331,7 @@
         seen.answer("202 Accepted", "", "{}").await;
         drop(seen);
         holder.stop().await;
-        assert!(other.next_let_go().await.starts_with("DELETE /kv/leases/c1 "));
+        assert!(other.next_release().await.starts_with("DELETE /kv/leases/c1 "));
     });
 }
 
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -193,7 +193,7 @@
             }
             Happens::Takes(id) => {
                 self.truth.get_mut(&id).expect("known").held = None;
-                self.input(Input::LetGo(id, true));
+                self.input(Input::Released(id, true));
             }
             Happens::In(input) => {
                 match &input {
@@ -280,9 +280,9 @@
                     self.answer(id);
                 }
                 Output::Fail { request, .. } => self.answer(request),
-                Output::LetGo(_, id, server) => {
+                Output::Release(_, id, server) => {
                     if server.0 == [0, 100, 1, 11, 101, 7][self.site.deaf as usize] {
-                        self.later(500 * MS, Happens::In(Input::LetGo(id, false)));
+                        self.later(500 * MS, Happens::In(Input::Released(id, false)));
                     } else {
                         self.later(CALL, Happens::Takes(id));
                     }
