--- a/crates/lab/src/engine/server.rs
+++ b/crates/lab/src/engine/server.rs
@@ -212,11 +212,6 @@
         self.queue.len() + self.slots.len()
     }
 
-    /// Jobs that wait for a slot.
-    pub fn queued(&self) -> usize {
-        self.queue.len()
-    }
-
     /// States that wait to be fetched.
     pub fn held(&self) -> usize {
         self.held.len()
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -28,22 +28,11 @@
 /// Attempts of a request that a job's number has room for.
 const ATTEMPTS: u64 = 256;
 
-/// What a report tells of a server's load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// The prompt tokens that wait there, at this very moment.
-    Tokens,
-    /// The requests in its queue, as they stood when the last report was drawn up: one is, this often.
-    Queue(Micros),
-}
-
 /// What is run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// Cells; each has the same servers.
     pub cells: u32,
-    /// Zones; cells and conductors go round among them.
-    pub zones: u16,
     /// Readers a cell.
     pub readers: u32,
     /// Writers a cell.
@@ -56,8 +45,6 @@
     pub conductors: usize,
     /// What is asked.
     pub workload: Workload,
-    /// What a server's report tells.
-    pub told: Told,
     /// What goes wrong: when, with which server, and how.
     pub faults: Vec<(Micros, u32, Fault)>,
     /// Who decides.
@@ -71,14 +58,12 @@
     pub fn small(policy: Policy, seed: u64) -> Self {
         Plan {
             cells: 2,
-            zones: 1,
             readers: 2,
             writers: 3,
             reader: Shape::reader(),
             writer: Shape::writer(),
             conductors: 4,
             workload: Workload::default(),
-            told: Told::Tokens,
             faults: Vec::new(),
             policy,
             seed,
@@ -120,10 +105,6 @@
         }
     }
 
-    fn zone(&self, n: u32) -> ZoneId {
-        ZoneId((n % u32::from(self.zones.max(1))) as u16)
-    }
-
     fn settings(&self) -> Settings {
         let mut settings = Settings::plain(self.conductors as u32);
         let kind = |role, shape: &Shape| Kind { role, memory_tokens: shape.blocks as u64 * shape.block };
@@ -149,7 +130,6 @@
             id: ServerId(n),
             kind: KindId(u16::from(n % a_cell >= self.readers)),
             cell: CellId(n / a_cell),
-            zone: self.zone(n / a_cell),
             ..ServerEntry::plain()
         };
         (0..self.servers()).map(entry).collect()
@@ -175,10 +155,6 @@
     pub kept: u64,
     /// See [`Report::kept`].
     pub read: u64,
-    /// Reads of each opening, by reader.
-    pub places: BTreeMap<u64, BTreeMap<usize, u64>>,
-    /// Of each request the prompt's length, and whether its answer began.
-    pub by_length: Vec<(u64, bool)>,
     /// Blocks evicted.
     pub evicted: u64,
     /// Answers put back into a queue.
@@ -222,8 +198,6 @@
     states: BTreeMap<usize, (usize, JobId)>,
     ledger: Ledger,
     report: Report,
-    /// The report that each engine gives out now, and when it was drawn up.
-    reports: BTreeMap<usize, (Micros, milletseam::interface::Report)>,
     area: f64,
     times: (f64, u64),
 }
@@ -239,10 +213,9 @@
 /// Runs a plan.
 pub fn run(plan: &Plan) -> Result<Report, SettingsError> {
     plan.check()?;
-    let mut settings = plan.settings();
+    let settings = plan.settings();
     let mut conductors = Vec::new();
     for n in 0..plan.conductors {
-        settings.zone = plan.zone(n as u32);
         let seed = plan.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(n as u64);
         conductors.push(plan.policy.conductor(&settings, seed)?);
     }
@@ -261,8 +234,6 @@
         first_token,
         kept: 0,
         read: 0,
-        places: BTreeMap::new(),
-        by_length: Vec::new(),
         evicted: 0,
         put_back: 0,
         reader_jobs: 0.0,
@@ -287,7 +258,6 @@
         states: BTreeMap::new(),
         ledger: Ledger::default(),
         report,
-        reports: BTreeMap::new(),
         area: 0.0,
         times: (0.0, 0),
     };
@@ -406,7 +376,14 @@
                     self.soon(self.now + 2 * WAY, Next::ToConductor(conductor, took));
                 }
                 CoreOutput::Probe(pool, server) => {
-                    let report = self.reported(server.0 as usize);
+                    let engine = &self.engines[server.0 as usize];
+                    let memory = engine.memory();
+                    let report = milletseam::interface::Report {
+                        latency: None,
+                        memory_share: Some(memory.in_use() as f64 / memory.capacity() as f64),
+                        waiting_tokens: Some(engine.waiting_tokens() as f64),
+                        waiting: None,
+                    };
                     let (took, outcome, report) = (2 * WAY, Outcome::Served, Some(report));
                     let input = CoreInput::Probed { pool, server, outcome, took, report };
                     self.soon(self.now + 2 * WAY, Next::ToConductor(of, input));
@@ -426,31 +403,7 @@
         }
     }
 
-    /// What a server tells now.
-    fn reported(&mut self, at: usize) -> milletseam::interface::Report {
-        let engine = &self.engines[at];
-        let memory = engine.memory();
-        let queue = matches!(self.plan.told, Told::Queue(_));
-        let report = milletseam::interface::Report {
-            latency: None,
-            memory_share: Some(memory.in_use() as f64 / memory.capacity() as f64),
-            waiting_tokens: (!queue).then(|| engine.waiting_tokens() as f64),
-            waiting: queue.then(|| engine.queued() as f64),
-        };
-        match self.plan.told {
-            Told::Tokens => report,
-            Told::Queue(every) => {
-                let stands = self.reports.entry(at).or_insert((self.now, report));
-                if stands.0 + every <= self.now {
-                    *stands = (self.now, report);
-                }
-                stands.1
-            }
-        }
-    }
-
     fn answer(&mut self, n: usize, what: &str) {
-        self.report.by_length.push((self.arrivals[n].request.prompt_tokens, what == "served"));
         self.ledger.answered(self.now, n, what);
         for word in [n as u64, self.now, what.len() as u64] {
             self.report.digest = (self.report.digest ^ word).wrapping_mul(0x0100_0000_01b3);
@@ -505,9 +458,6 @@
                     Some((_, came)) => {
                         self.times = (self.times.0 + (self.now - came) as f64, self.times.1 + 1);
                         self.states.insert(of_job(id).0, (at, id));
-                        if let Some(PrefixKey(opening)) = self.arrivals[of_job(id).0].request.prefix {
-                            *self.report.places.entry(opening).or_default().entry(at).or_default() += 1;
-                        }
                         self.ended(id, Outcome::Read, kept, WAY);
                     }
                     // It was called off while the step ended: nobody will fetch it.
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -14,10 +14,8 @@
     pub rate: f64,
     /// For how long they come.
     pub span: Micros,
-    /// Families of shared openings; which one a session has goes by a heavy tail...
+    /// Families of shared openings; which one a session has goes by a heavy tail.
     pub families: u32,
-    /// ... which falls with this power of its rank.
-    pub skew: f64,
     /// Length of an opening in tokens.
     pub opening: u64,
     /// Tokens that a turn adds on average.
@@ -37,7 +35,6 @@
             rate: 27.0,
             span: 60_000_000,
             families: 50,
-            skew: 1.1,
             opening: 1_500,
             turn: 400.0,
             answer: 60.0,
@@ -97,7 +94,7 @@
         Exp::new(workload.rate / 1e6),
         Exp::new(1.0 / workload.turn),
         Exp::new(1.0 / workload.answer),
-        Zipf::new(f64::from(workload.families), workload.skew),
+        Zipf::new(f64::from(workload.families), 1.1),
     ) else {
         return Vec::new();
     };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,31 +4,26 @@
 //! The rule: a prompt goes to the ready reader with the lowest weight x missing tokens + pending load; after
 //! the read, a writer with room in that reader's cell fetches the state and answers.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::interface::*;
-use crate::kept::{Kept, Key, keys};
-use crate::pace::{PACE_HALF_LIFE, Pace, Shares};
-use crate::roster::{Look, Roster, even_lot, lot};
+use crate::pace::{PACE_HALF_LIFE, Pace};
+use crate::roster::{Look, Roster, even_lot};
 use crate::slow_start::{Draw, SlowStart, warmth};
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
 const OVERLAP_WEIGHT: f64 = 4.0;
-/// What a reader keeps is believed for so long after its last use: it may have let it go.
+/// A table entry that is not used for this long is dropped: the reader may have let its tokens go.
 const KEPT_FOR: Micros = 30_000_000;
-/// Part of a reader's time that one prefix may take before it gets another place: two leave it half.
-const PLACE_PART: f64 = 0.25;
-/// A prefix's part of what comes is measured against so many requests more (a guess): a few prove little.
-const DEMAND_PRIOR: f64 = 20.0;
-/// Readers at which few dispatchers presume a prefix, by falling chance.
+/// Readers at which peers are presumed to keep a prefix: one alone would be jammed by a much used one.
 const HOMES: f64 = 3.0;
 /// Dispatchers are many if there are more than this many to a reader.
 const MANY: f64 = 2.0;
-/// All who see a reader empty send there until its next report: up to this many times its even part.
+/// A report stays the same for a while, and all who see a reader empty send there: until the next one, up
+/// to this many times its even part of what all dispatchers have to send.
 const HERD: f64 = 3.0;
 /// A writer whose memory share is under this has room.
 const ROOM: f64 = 0.9;
@@ -73,7 +68,8 @@
 const TRIAL_AFTER: Micros = 2_000_000;
 /// A server that was full is this long the last resort of that tenant and class: others may find room there.
 const FULL_REST: Micros = 3_000_000;
-/// A server is faulty if, of late, this part of what it ended was errors (half, for what may run once)...
+/// A server is faulty if, of late, this part of what it ended was errors, or half of it for what must not run
+/// twice: what may be repeated finds out whether it has recovered...
 const FAULTY: f64 = 0.2;
 /// ... mixed with so many good ends, so that it gets a trial after a rest...
 const FAULT_PRIOR: f64 = 2.0;
@@ -85,33 +81,44 @@
 const COLD_PART: f64 = 0.5;
 /// Advice to a client turned away for want of capacity: the answer comes at once, its next try later.
 const RETRY_AFTER: Micros = 1_000_000;
-/// Pause before a request that found no server looks again, or its client if the attempts are used up.
+/// Pause before a request that found no server looks again, or its client if the attempts are used up: other
+/// dispatchers may be let in.
 const LOOK_AGAIN: Micros = 50_000;
 /// Averages and old entries are seen to this often.
 const HOUSEKEEPING: Micros = 200_000;
-/// Before a choice, up to this many of the best candidates are asked for a report if that costs at most...
+/// Before a choice, up to this many of the best candidates are asked for a report...
 const ASK: f64 = 3.0;
-/// ... this part of the result at either choice...
+/// ... if all that asking costs at most this part of the result at either choice...
 const ASK_SPEND: f64 = 0.01;
 /// ... of those whose last report is no longer fresh, that is older than this...
 const FRESH: Micros = 300_000;
-/// ... and the choice waits for this part of the shortest aim...
+/// ... and the choice waits for this part of the shortest aim.
 const ASK_WAIT: f64 = 0.015;
-/// ... or, where dispatchers are many, of a reader, for this: a report waits in the queue it tells of...
-const ASK_WAIT_READER: f64 = 0.1;
-/// ... and others are asked, so many times at most.
-const ASK_ROUNDS: u32 = 3;
 
-/// A choice looks at all of so many of a role, beyond that at keepers and some by lot (watched-files.md).
+/// Up to so many servers of a role a choice looks at all, beyond that at those that keep the text and at some
+/// by lot: the best of many is little better than the best of some (measured: docs/design/watched-files.md).
 const LOOK_AT: Look = Look { all: 128, some: 24 };
 
+/// What a table entry stands for.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Session(SessionKey),
+    Prefix(PrefixKey),
+}
+
+/// Tokens believed to be kept at a reader, and when they were last used.
+struct Kept {
+    tokens: u64,
+    used: Micros,
+}
+
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
     role: Role,
     memory: f64,
     weight: f64, // its capacity against the mean of its role; 0 takes nothing new
-    kept: Kept,
+    kept: BTreeMap<Key, Kept>,
     unread: f64,               // own prompt tokens sent and not yet read
     others: f64,               // tokens beyond them that wait there by the last report
     since: Vec<(Micros, f64)>, // own streams that the last report can't hold yet: when, and the tokens
@@ -128,15 +135,7 @@
     broke: bool,  // nor since a connection broke
     trial_at: Micros,
     full: BTreeMap<(Option<TenantId>, ClassId), Micros>, // who was turned away as full: until when to rest
-    probed: Option<Micros>,
-    told: Option<Micros>, // when it last reported, or showed that it had nothing to report
-    asking: Vec<RequestId>, // whose choice waits for its report
-}
-
-impl Server {
-    fn fresh(&self, now: Micros) -> bool {
-        self.told.is_some_and(|at| at + FRESH >= now)
-    }
+    probed: Micros,
 }
 
 #[derive(Clone, Copy)]
@@ -160,8 +159,7 @@
     started: bool,
     over: bool, // the final answer is given or no longer owed
     avoid: Option<ServerId>,
-    asked: u32,         // how often candidates were asked for reports before the next choice
-    kept: u64,          // prompt tokens presumed at the reader that is ranked first
+    asked: bool,        // candidates were asked for reports before the next choice
     lot: u64,           // settles of which cold servers' share it is,
     draw: Option<Draw>, // and how large that is, once drawn for the next choice
 }
@@ -208,7 +206,7 @@
     readers: Fleet,
     writers: Fleet,
     slow_starts: [SlowStart; 2], // of readers, and of others
-    demand: Shares<Key>,
+    near_readers: f64,           // those of the own zone
     offered: Pace, // tokens to be read for the requests that came, taken or not, and their count as seconds
     first_tokens: Pace,
     tenants: Vec<Pace>,
@@ -237,7 +235,7 @@
             timers: 0,
             readers: Fleet { pace: FIRST_PACE, ..Fleet::default() },
             writers: Fleet { pace: FIRST_PACE, ..Fleet::default() },
-            demand: Shares::new(now),
+            near_readers: 0.0,
             offered: none,
             first_tokens: Pace::default(),
             looked: None,
@@ -271,11 +269,7 @@
             Event::Ended(ended) => self.on_ended(now, ended, out),
             Event::Gone(id) => self.close(id, None, out),
             Event::Timer(_) => self.on_timer(now, out),
-            Event::Probed { server, outcome, report, .. } => {
-                let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
-                self.hear(now, server, false, report);
-                self.on_probed(now, server, told, out);
-            }
+            Event::Probed { server, outcome, report, .. } => self.on_probed(now, server, outcome, report),
             Event::Place { .. } | Event::Peer { .. } => {}
         }
     }
@@ -291,7 +285,6 @@
         if let Some(tenant) = request.tenant.and_then(|t| self.tenants.get_mut(usize::from(t.0))) {
             tenant.add(now, 1.0, 0);
         }
-        self.demand.add(now, keys(&request).map(|(key, _)| key));
         let id = request.id;
         let last = request.expires.saturating_sub(self.settings.step);
         self.wake(last.max(now), Wake::Deadline(id), out);
@@ -316,7 +309,6 @@
         // It may have run and must not run again: its client hears so now, not when its aim has passed.
         let class = self.class(&open.request);
         let spent = open.attempts.iter().any(|a| a.may_have_run && now >= class.repeats_until(a.sent));
-        let late = now > open.came + class.aim; // its client hears it now
         if left == 0 || spent || now + self.settings.step >= open.request.expires {
             return self.give_up(id, LOOK_AGAIN, out);
         }
@@ -337,9 +329,13 @@
             return;
         }
         match ranked.first().copied() {
-            Some(to) if new && self.hopeless(now, id, to) => return self.give_up(id, RETRY_AFTER, out),
+            Some(reader) if new && self.hopeless(now, id, reader) => {
+                return self.give_up(id, RETRY_AFTER, out);
+            }
             Some(server) => return self.send(now, id, server, out),
-            None if new && (left < 2 || late) => return self.give_up(id, RETRY_AFTER, out),
+            None if new && (left < 2 || self.too_late(now, id)) => {
+                return self.give_up(id, RETRY_AFTER, out);
+            }
             None => {}
         }
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -347,56 +343,46 @@
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
-    /// Asks the best candidates for reports before the choice among them, and others while these are silent:
-    /// one of hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
+    /// No server was found within the aim: the client hears it now, not at its deadline.
+    fn too_late(&self, now: Micros, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|open| now > open.came + self.class(&open.request).aim)
+    }
+
+    /// Asks the best candidates for reports before the choice among them, once for each choice. One of
+    /// hundreds of dispatchers hears of a server too seldom by its own sends to know its load.
     fn ask(&mut self, now: Micros, id: RequestId, ranked: &[ServerId], out: &mut Actions) -> bool {
-        let reads = self.thin() && self.requests.get(&id).is_some_and(|open| open.state.is_none());
         let most = (ASK_SPEND / self.settings.prices.probe.max(1e-6)).min(ASK) as usize;
-        let (wait, rounds) = (self.ask_wait(reads), if reads { ASK_ROUNDS } else { 1 });
-        let Some(open) = self.requests.get_mut(&id) else { return false };
-        let Some(first) = ranked.first().and_then(|first| self.servers.get(first)) else { return false };
-        let due = |server: &Server| server.probed.filter(|at| server.probed > server.told && at + wait > now);
-        if let Some(at) = due(first).filter(|_| reads && open.asked > 0) {
-            self.wake(at + wait, Wake::Again(id), out);
-            return true;
-        }
-        let ended = open.asked >= rounds || open.asked > 0 && first.fresh(now);
-        if !self.settings.limits.probes || ranked.len() < 2 || ended {
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.asked) else { return false };
+        if !self.settings.limits.probes || ranked.len() < 2 {
             return false;
         }
-        open.asked += 1;
+        open.asked = true;
         let mut any = false;
         for to in ranked.iter().take(most) {
-            let Some(server) = self.servers.get_mut(to).filter(|server| !server.fresh(now)) else { continue };
-            any = true;
-            server.asking.extend(reads.then_some(id));
-            if due(server).is_none() {
-                server.probed = Some(now);
+            let Some(server) = self.servers.get_mut(to) else { continue };
+            if server.reported.is_none_or(|at| at + FRESH < now) {
+                (any, server.probed) = (true, now);
                 out.push(Action::Probe(*to));
             }
         }
         if any {
-            self.wake(now + wait, Wake::Again(id), out);
+            self.wake(now + self.ask_wait(), Wake::Again(id), out);
         }
         any
     }
 
-    fn shortest(&self, time: fn(&Class) -> Micros) -> f64 {
-        self.settings.classes.iter().map(time).min().unwrap_or(0) as f64
+    fn shortest_aim(&self) -> f64 {
+        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64
     }
 
-    fn ask_wait(&self, reads: bool) -> Micros {
-        if reads {
-            return (ASK_WAIT_READER * self.shortest(|c| c.aim.min(c.deadline))) as Micros;
-        }
-        ((ASK_WAIT * self.shortest(|c| c.aim)) as Micros).min(self.settings.rules.release_within / 4)
+    fn ask_wait(&self) -> Micros {
+        ((ASK_WAIT * self.shortest_aim()) as Micros).min(self.settings.rules.release_within / 4)
     }
 
     /// Why a candidate is of last resort: the request failed there, or its like was turned away as full, or
     /// it is in doubt and not due for a trial, answers with errors, or left a probe unanswered for too long.
     fn unwilling(&self, now: Micros, server: &Server, open: &Open) -> Option<LastResort> {
-        let waited = |at| now >= at + self.ask_wait(self.thin() && server.role == Role::Reader);
-        let silent = server.probed > server.told && server.probed.is_some_and(waited);
+        let silent = server.probed > server.reported.unwrap_or(0) && now >= server.probed + self.ask_wait();
         let doubted = server.doubt && (now < server.trial_at || server.out > 0);
         let full =
             server.full.get(&(open.request.tenant, open.request.class)).is_some_and(|until| now < *until);
@@ -414,8 +400,9 @@
         reasons.into_iter().zip(LastResort::ALL).find_map(|(is, why)| is.then_some(why))
     }
 
-    /// Whether the answer can't begin within the aim even at the cheapest reader: it would only lengthen
-    /// a queue of late work. Of all who see the same report, each takes a drawn place in the queue.
+    /// Whether the answer can't begin within the aim even at the cheapest reader: sent on, it would only
+    /// lengthen a queue of late work. Guards against bursts, lost servers, fleets gone slow, and herds: of
+    /// all who see the same report, each takes a drawn place in the queue. May hurt where few peers send.
     fn hopeless(&mut self, now: Micros, id: RequestId, reader: ServerId) -> bool {
         let writer = self.rank_writers(now, id, reader).first().copied();
         self.looked.as_mut().map(Vec::clear); // nothing is chosen here
@@ -423,7 +410,8 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&reader)) else {
             return false;
         };
-        if server.reported.is_none_or(|at| at + FRESH <= now) && self.out < TO_SEE {
+        let fresh = server.reported.is_some_and(|at| now - at < FRESH);
+        if !fresh && self.out < TO_SEE {
             return self.thin()
                 && self.load(now, server, 0.0) / self.pace(now, server) > self.bound(&open.request);
         }
@@ -435,7 +423,8 @@
         let longer = class.aim_per_1000_tokens.saturating_mul(open.request.prompt_tokens) / 1000;
         let aim = class.aim.saturating_add(longer).min(open.request.expires.saturating_sub(now));
         let queue = self.load(now, server, 0.0) / self.pace(now, server) + wait;
-        let (missing, pace) = ((open.request.prompt_tokens - open.kept) as f64, self.pace(now, server));
+        let kept = self.presumed(now, server, &open.request, self.strange(&open.request));
+        let (missing, pace) = ((open.request.prompt_tokens - kept) as f64, self.pace(now, server));
         let crowded = self.load(now, server, chance * HERD * self.peers_rate()) / pace + wait;
         let hopeless = crowded > self.bound(&open.request) || queue + missing / pace > aim as f64 / 1e6;
         self.offered.add(now, missing, 1_000_000);
@@ -461,20 +450,20 @@
             self.tenants.get(t).is_some_and(|seen| seen.work > fair + OVER * fair.sqrt())
         });
         let worth = class.worth / most * if over { self.settings.over_share_worth } else { 1.0 };
-        ADMIT * self.shortest(|c| c.aim) / 1e6 * worth.max(WORTH_LEAST)
+        ADMIT * self.shortest_aim() / 1e6 * worth.max(WORTH_LEAST)
     }
 
     // ---- the reader
 
     /// The usable readers by cost, with mixed servers within their share; writers only if none is listed.
-    /// Where dispatchers are many, those that are no place for it come last: all would send to the one that
-    /// looks empty, and what is kept moves with every wave. May hurt in uneven fleets.
+    /// Where dispatchers are many, those that are no place of this session or prefix come last: all would
+    /// send to the one that looks empty, and sessions move with every wave. May hurt in uneven fleets.
     fn rank_readers(&mut self, now: Micros, id: RequestId, two_left: bool) -> Vec<ServerId> {
         let Some(open) = self.requests.get(&id) else { return Vec::new() };
-        let (request, thin) = (&open.request, self.thin());
+        let (strange, thin) = (self.strange(&open.request), self.thin());
         let writers_read = self.settings.limits.writers_read && self.readers.count <= 0.0;
-        let (mut usable, share) = (Vec::new(), ROOM.min(self.writers.memory + MIXED_LEAD));
-        for sid in self.roster.readers(&mut self.rng, keys(request).map(|(key, _)| key), LOOK_AT) {
+        let (mut found, mut home, share) = (Vec::new(), None, ROOM.min(self.writers.memory + MIXED_LEAD));
+        for sid in self.roster.readers(&mut self.rng, keys(&open.request).map(|(key, _)| key), LOOK_AT) {
             let Some(server) = self.servers.get(&sid) else { continue };
             let unfit = match server.role {
                 Role::Reader => (!two_left).then_some(Barred::LastAttempt),
@@ -482,76 +471,54 @@
                 _ => (self.memory_share(now, server) >= share).then_some(Barred::Memory),
             };
             let barred = unfit.or_else(|| self.barred(now, server, open, false));
-            usable.push((server, barred, self.unwilling(now, server, open)));
-        }
-        let fit = usable.iter().filter(|(_, barred, last)| thin && barred.is_none() && last.is_none());
-        let reads = |s: &&Server| s.role == Role::Reader || self.readers.count <= 0.0;
-        let places = self.places(open, fit.map(|(s, ..)| *s).filter(reads).collect());
-        let (mut found, mut presumed) = (Vec::new(), BTreeMap::new());
-        for (server, barred, unwilling) in usable {
-            let (sid, place) = (server.entry.id, places.get(&server.entry.id).copied());
-            let place = if thin { place } else { self.homely(request, server) };
             let far = f64::from(server.entry.zone != self.settings.zone);
-            let price = far * self.settings.prices.cross_zone * self.class(request).aim as f64 / 1e6;
-            let unheard = thin && open.asked > 0 && !server.fresh(now); // it would have to be asked first
-            let price = price + if unheard { self.ask_wait(true) as f64 / 1e6 } else { 0.0 };
+            let price = far * self.settings.prices.cross_zone * self.class(&open.request).aim as f64 / 1e6;
             // Seconds until the prompt is read: weight x missing tokens + load, at the server's pace.
-            let own = server.kept.promised(now.saturating_sub(KEPT_FOR), request);
-            let kept = own.max(place.unwrap_or(0)).min(request.prompt_tokens);
-            let missing = request.prompt_tokens - kept;
+            let missing = open.request.prompt_tokens - self.presumed(now, server, &open.request, strange);
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
+            let unwilling = self.unwilling(now, server, open);
+            let kept = promised(now, server, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
-            let class = u8::from(thin && !cold && own == 0 && place.is_none());
+            let class = u8::from(thin && !kept && !cold);
             if let Some(looked) = &mut self.looked {
                 let cost = Cost::Read { missing, load, pace, price, cost };
                 looked.push(Candidate { server: sid, barred, last_resort: unwilling, class, cost });
             }
-            if barred.is_none() {
-                let chance = (self.rng.random(), server.weight);
-                found.push((unwilling.is_some(), class, cost, chance, sid));
-                presumed.insert(sid, kept);
+            if barred.is_some() {
+                continue;
+            }
+            let unwilling = unwilling.is_some();
+            let place =
+                far - open.request.session.map_or_else(|| self.rng.random(), |key| lot(key.0, server));
+            if home.is_none_or(|(u, p, _)| (unwilling, place) < (u, p)) {
+                home = Some((unwilling, place, found.len()));
             }
+            let chance = (self.rng.random(), server.weight);
+            found.push((unwilling, class, cost, chance, sid));
         }
-        let ranked = ranked(found);
-        let kept = ranked.first().map_or(0, |first| presumed[first]);
-        self.requests.entry(id).and_modify(|open| open.kept = kept);
-        ranked
+        if let Some((_, _, at)) = home {
+            found[at].1 = 0;
+        }
+        ranked(found)
     }
 
-    /// The readers to which all dispatchers send what begins like this, with its tokens presumed there, by
-    /// rendezvous hashing over those that are fit: nothing is said between them, and each sees too little to
-    /// meet a prefix or a session twice. As many as the prefix's part of the demand fills: one of all readers
-    /// if little, else near ones, of which each session has its own. One more takes what overflows.
-    fn places(&self, open: &Open, mut order: Vec<&Server>) -> BTreeMap<ServerId, u64> {
-        let lot = |key, server: &Server| lot(key, server.entry.id, server.weight);
-        let (request, zone, prefix) = (&open.request, self.settings.zone, open.request.prefix);
-        let key = prefix.map(|key| key.0).or(request.session.map(|key| key.0)).unwrap_or(open.lot);
-        order.sort_by_cached_key(|s| Reverse(lot(key, s).to_bits()));
-        let first = order.first().copied().filter(|_| prefix.is_some());
-        let near = order.iter().filter(|s| s.entry.zone == zone).count().max(1);
-        let filled = |key| self.demand.part(&key, DEMAND_PRIOR) * near as f64 / PLACE_PART;
-        let filled_by = keys(request).map(|(key, _)| filled(key) as usize).max().unwrap_or(0);
-        let many = near.min(1 + filled_by);
-        let anywhere = many == 1 && prefix.is_some();
-        order.sort_by_key(|s| !anywhere && s.entry.zone != zone);
-        let homes = &order[..many.min(order.len())];
-        let tokens = prefix.map_or(0, |_| request.prefix_tokens);
-        let shared = homes.iter().copied().chain(first).map(|s| (s.entry.id, tokens));
-        let spare = order.get(many).filter(|_| prefix.is_some()).map(|s| (s.entry.id, 0));
-        // A session has its own home, unless it was met already, or is more than one may take.
-        let met = |key| order.iter().any(|s| s.kept.holds(&key)) || filled(key) >= 1.0;
-        let own = request.session.filter(|key| !met(Key::Session(*key)));
-        let own = own.and_then(|key| homes.iter().max_by(|a, b| lot(key.0, a).total_cmp(&lot(key.0, b))));
-        let own = own.map(|s| (s.entry.id, request.prompt_tokens));
-        spare.into_iter().chain(shared).chain(own).collect() // the last that is said of a reader holds
+    /// Prompt tokens that the server may keep for the request: by the table, or by what peers may have sent.
+    /// All presume the same homes of a prefix, drawn by lot, and, by falling chance, the same places of a
+    /// session in its client's zone: each of hundreds of dispatchers sees too little to meet either twice.
+    fn presumed(&self, now: Micros, server: &Server, request: &Request, strange: bool) -> u64 {
+        let near = server.entry.zone == self.settings.zone && server.role == Role::Reader;
+        let own = match request.session.filter(|_| strange && near) {
+            Some(key) => request.prompt_tokens as f64 * is_home(key.0, server, 1.0, self.near_readers),
+            None => 0.0,
+        };
+        let shared = request.prefix_tokens as f64 * self.homely(request, server);
+        promised(now, server, request).max(own.max(shared) as u64).min(request.prompt_tokens)
     }
 
-    /// Few dispatchers choose by what each knows, among readers where peers may keep the prefix.
-    fn homely(&self, request: &Request, server: &Server) -> Option<u64> {
-        let even = lot(request.prefix?.0, server.entry.id, server.weight);
-        let chance = (HOMES / ((1.0 - even) * self.readers.count)).min(1.0);
-        Some((request.prefix_tokens as f64 * chance) as u64)
+    /// The chance that the reader is a home of the request's prefix.
+    fn homely(&self, request: &Request, server: &Server) -> f64 {
+        request.prefix.map_or(0.0, |key| is_home(key.0, server, HOMES, self.readers.count))
     }
 
     /// Dispatchers are many: each sees too little to know a reader or a session by its own sends.
@@ -559,6 +526,13 @@
         f64::from(self.settings.dispatchers) > MANY * self.readers.count
     }
 
+    /// Other dispatchers may have met the session; this one has not.
+    fn strange(&self, request: &Request) -> bool {
+        let Some(key) = request.session.map(Key::Session).filter(|_| self.thin()) else { return self.thin() };
+        let keeps = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.kept.contains_key(&key));
+        !self.roster.keepers(&key).iter().any(keeps)
+    }
+
     /// Prompt tokens that wait there: own unread ones, and what a report showed beyond them, less what can
     /// have been read since, and with what a crowd sent at so many tokens a second in the life of a report.
     fn load(&self, now: Micros, server: &Server, crowd: f64) -> f64 {
@@ -691,8 +665,7 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let request = open.request;
         let reads = open.state.is_none();
-        let missing =
-            (request.prompt_tokens - server.kept.promised(now.saturating_sub(KEPT_FOR), &request)) as f64;
+        let missing = (request.prompt_tokens - promised(now, server, &request)) as f64;
         let ahead = self.load(now, server, 0.0);
         let expected = if reads { (ahead + missing) / self.pace(now, server) } else { self.writers.wait };
         let expected = if server.role == Role::Mixed { expected + self.writers.wait } else { expected };
@@ -705,7 +678,7 @@
         (server.out, self.out) = (server.out + 1, self.out + 1);
         if reads {
             server.unread += missing;
-            server.kept.record(now, &request);
+            record(now, server, &request);
             keys(&request).for_each(|(key, _)| self.roster.keep(key, to));
         }
         if server.role != Role::Reader {
@@ -734,9 +707,11 @@
         }
     }
 
-    /// An attempt is out for long. A server not heard since is asked; if it stays silent, or answers only
-    /// probes for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a
-    /// reader with a long queue, or, where dispatchers are many, a writer that fetches over a link.
+    /// An attempt is out for long. A server not heard since the send is asked; if it stays silent, or answers
+    /// only probes for the whole aim, it is in doubt and the attempt is given up. Others are only slow, as a
+    /// reader with a queue longer than the time waited, or, where dispatchers are many and know no link, a
+    /// writer that fetches over one: reads may not stop, a move begins anew. May hurt: a hung server that
+    /// answers probes.
     fn on_patience(&mut self, now: Micros, id: RequestId, attempt: usize, out: &mut Actions) {
         let Some(open) = self.requests.get(&id).filter(|o| !o.over && !o.started) else { return };
         let Some(a) = open.out().filter(|_| open.attempts.len() == attempt + 1) else { return };
@@ -752,11 +727,11 @@
         }
         let answers = server.heard >= sent || jammed;
         let Some(server) = self.servers.get_mut(&to) else { return };
-        if !answers && (server.probed >= Some(sent) || !self.settings.limits.probes) {
+        if !answers && (server.probed >= sent || !self.settings.limits.probes) {
             self.doubt(now, to, out);
             return out.push(Action::Cancel { request: id, attempt: attempt as u32 });
         } else if !answers {
-            server.probed = Some(now);
+            server.probed = now;
             out.push(Action::Probe(to));
         }
         self.wake(now + PATIENCE_LEAST / 2, Wake::Patience(id, attempt), out);
@@ -777,7 +752,7 @@
             let waiting = report.waiting_tokens.or(report.waiting.map(|count| count * read)).unwrap_or(0.0);
             server.others = (waiting - server.unread).max(0.0);
             server.report = report;
-            (server.reported, server.told) = (Some(now), Some(now));
+            server.reported = Some(now);
             server.since.retain(|(at, _)| at + REPORT_LAG >= now);
         }
         if alive {
@@ -807,7 +782,7 @@
             server.unread = (server.unread - a.tokens).max(0.0);
             if a.reads {
                 server.pace.add(now, a.tokens + a.ahead + READ_OVERHEAD, took);
-                server.kept.record(now, &open.request);
+                record(now, server, &open.request);
             } else if a.crossing.is_none() {
                 server.begins.add(now, 1.0, took);
             }
@@ -821,7 +796,7 @@
         self.hear(now, from, alive, ended.report);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(ended.attempt as usize).filter(|a| !a.ended) else { return };
-        (a.ended, open.asked, open.lot, open.draw) = (true, 0, open.lot.wrapping_add(1), None);
+        (a.ended, open.asked, open.lot, open.draw) = (true, false, open.lot.wrapping_add(1), None);
         a.may_have_run &= !ended.outcome.never_ran();
         self.slow_starts[0].bear(now, f64::from(ended.outcome == Outcome::Read));
         let begun = open.started;
@@ -975,19 +950,18 @@
     fn keep_house(&mut self, now: Micros, out: &mut Actions) {
         self.wake(now + HOUSEKEEPING, Wake::Housekeeping, out);
         for server in self.servers.values_mut() {
-            server.kept.forget(now.saturating_sub(KEPT_FOR));
+            server.kept.retain(|_, kept| kept.used + KEPT_FOR > now);
             server.since.retain(|(at, _)| at + REPORT_OLD > now);
         }
-        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.holds(key));
+        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.contains_key(key));
         self.roster.forget(keeps);
-        self.demand.forget(now);
         self.average(now);
     }
 
     fn average(&mut self, now: Micros) {
         self.first_tokens.decay(now);
         self.writers.wait = (self.first_tokens.seconds + 0.1) / (self.first_tokens.work + 1.0);
-        let (mut least, mut work, mut seconds) = (f64::INFINITY, FIRST_PACE, 1.0);
+        let (mut near, mut least, mut work, mut seconds) = (0.0, f64::INFINITY, FIRST_PACE, 1.0);
         let mut sums = [(0.0, Fleet::default()); 2]; // heard, and the rest, of readers and others
         for (of, slow_start) in self.slow_starts.iter_mut().enumerate() {
             let servers = self.servers.values().filter(|s| usize::from(s.role != Role::Reader) == of);
@@ -1003,6 +977,7 @@
             }
             fleet.count += 1.0;
             if reading {
+                near += f64::from(server.entry.zone == self.settings.zone);
                 let mut own = server.pace;
                 own.decay(now);
                 work += own.work;
@@ -1011,6 +986,7 @@
                 least = least.min(self.wait(now, None, server));
             }
         }
+        self.near_readers = near;
         self.writers.least = if least.is_finite() { least } else { self.writers.wait };
         for (reading, (heard, sum)) in [true, false].into_iter().zip(sums) {
             let fleet = if reading { &mut self.readers } else { &mut self.writers };
@@ -1020,15 +996,11 @@
         }
     }
 
-    fn on_probed(&mut self, now: Micros, from: ServerId, told: bool, out: &mut Actions) {
-        let Some(server) = self.servers.get_mut(&from) else { return };
-        if told {
-            (server.told, server.probed) = (Some(now), None); // nothing to report, or hung up: no silence
-        }
-        for id in std::mem::take(&mut server.asking) {
-            if self.requests.get(&id).is_some_and(|open| open.asked > 0 && open.state.is_none()) {
-                self.advance(now, id, out);
-            }
+    fn on_probed(&mut self, now: Micros, from: ServerId, outcome: Outcome, report: Option<Report>) {
+        let told = outcome == Outcome::Served && report.is_none() || outcome == Outcome::Reset;
+        self.hear(now, from, false, report);
+        if let Some(server) = self.servers.get_mut(&from).filter(|_| told) {
+            server.probed = 0; // it has nothing to report yet, or hung up on the probe: that is no silence
         }
     }
 }
@@ -1047,6 +1019,42 @@
     found.into_iter().map(|rank| rank.4).collect()
 }
 
+/// The keys under which a request's prompt is kept, and the tokens that each stands for.
+fn keys(request: &Request) -> impl Iterator<Item = (Key, u64)> {
+    let session = request.session.map(|key| (Key::Session(key), request.prompt_tokens));
+    let prefix =
+        request.prefix.map(|key| (Key::Prefix(key), request.prefix_tokens.min(request.prompt_tokens)));
+    session.into_iter().chain(prefix)
+}
+
+/// A number in [0, 1) that every dispatcher finds for this key at this server, the nearer to 1 the heavier.
+fn lot(key: u64, server: &Server) -> f64 {
+    let even = even_lot(key, server.entry.id);
+    if server.weight == 1.0 { even } else { even.powf(1.0 / server.weight) }
+}
+
+/// The chance that a server is one of a key's homes among so many, by its place in the key's order.
+fn is_home(key: u64, server: &Server, homes: f64, count: f64) -> f64 {
+    (homes / ((1.0 - lot(key, server)) * count)).min(1.0)
+}
+
+/// Prompt tokens that the table holds for the request.
+fn promised(now: Micros, server: &Server, request: &Request) -> u64 {
+    let fresh = |(key, most): (Key, u64)| {
+        let kept = server.kept.get(&key).filter(|kept| kept.used + KEPT_FOR > now)?;
+        Some(kept.tokens.min(most))
+    };
+    keys(request).filter_map(fresh).max().unwrap_or(0)
+}
+
+/// Notes that the server keeps the request's prompt, or will.
+fn record(now: Micros, server: &mut Server, request: &Request) {
+    for (key, tokens) in keys(request) {
+        let kept = server.kept.entry(key).or_insert(Kept { tokens, used: now });
+        (kept.tokens, kept.used) = (kept.tokens.max(tokens), now);
+    }
+}
+
 /// What the end of an attempt tells of its server.
 fn learn(now: Micros, server: &mut Server, request: &Request, a: &Attempt, ended: &Ended) {
     match ended.outcome {
@@ -1055,7 +1063,7 @@
             server.pace.add(now, missing + a.ahead + READ_OVERHEAD, ended.took);
             server.full.remove(&(request.tenant, request.class));
             server.served_to = server.served_to.max(a.sent);
-            server.kept.record(now, request);
+            record(now, server, request);
         }
         Outcome::Full => {
             server.full.insert((request.tenant, request.class), now + FULL_REST);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,7 +34,6 @@
 pub mod documents;
 pub mod expect;
 pub mod interface;
-pub mod kept;
 pub mod membership;
 pub mod pace;
 pub mod program;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -24,12 +24,6 @@
     (x ^ (x >> 31)) as f64 / 2f64.powi(64)
 }
 
-/// The same for servers of unlike weight: one of double weight is twice as likely to have the highest of all.
-pub fn lot(key: u64, server: ServerId, weight: f64) -> f64 {
-    let even = even_lot(key, server);
-    if weight == 1.0 { even } else { even.powf(1.0 / weight) }
-}
-
 /// The servers of a list by role and cell, and those that may keep a key's text.
 pub struct Roster<Key> {
     readers: Vec<ServerId>,
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -247,7 +247,7 @@
     let mut stand = Stand::new(settings, pair_fleet());
     let first = request(1, stand.now);
     stand.accept(first);
-    stand.pass(S); // no probe is answered yet: others are asked first
+    stand.pass(100 * MS);
     let reader = stand.at(first.id).expect("a reader");
     stand.end_with(first.id, Outcome::Read, 0, report(0.1, 0.0));
     stand.pass(S);
