--- a/tests/peers/stopwatch.rs
+++ b/tests/peers/stopwatch.rs
@@ -56,6 +56,7 @@
 }
 
 /// Measures a span without the time in which the machine stood still.
+#[derive(Clone)]
 pub struct Stopwatch {
     began: Instant,
     stood: Duration,
