Log why attempts are called off, and count late releases

Missed in the incident: why an attempt was called off, whether its last byte had been written, how long it and each call that lets go of a state took, and how many states were let go of too late. The core's messages stand in a file of their own (src/routing/message.rs). No decision changes.

--- a/crates/lab/src/policy/plain.rs
+++ b/crates/lab/src/policy/plain.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use milletseam::interface::*;
-use milletseam::routing::{Input, Output, PoolId};
+use milletseam::routing::{CancelReason, Input, Output, PoolId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -132,7 +132,11 @@
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
         if open.out {
-            out.push(Output::Cancel(id, open.sent.len() as u32 - 1));
+            out.push(Output::Cancel {
+                request: id,
+                attempt: open.sent.len() as u32 - 1,
+                reason: CancelReason::GivenUp,
+            });
         }
         if let Some(reader) = open.read_at {
             out.push(Output::Release(POOL, id, reader));
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -337,7 +337,7 @@
                 CoreOutput::Send { request, attempt, server, .. } => {
                     self.send(number(request), attempt, server);
                 }
-                CoreOutput::Cancel(request, attempt) => {
+                CoreOutput::Cancel { request, attempt, .. } => {
                     let id = job(number(request), attempt);
                     if let Some((at, _)) = self.jobs.remove(&id) {
                         self.soon(self.now + WAY, Next::ToEngine(at, Input::Cancel(id)));
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -308,7 +308,7 @@
         let at = self.now - BEGIN;
         match output {
             Output::Send { request, attempt, server, .. } => self.send(of, request, attempt, server),
-            Output::Cancel(request, attempt) => {
+            Output::Cancel { request, attempt, .. } => {
                 let outcome = Outcome::Cancelled;
                 self.soon(self.now, Next::Ended { of, request, attempt, outcome, kept: 0 });
             }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use super::message::{Admission, CancelReason, Input, Output, PoolId};
 use super::totals::{End, Handled, Totals};
 use super::tries::{Attempt, Tries};
 use crate::choice::Router;
@@ -19,113 +20,8 @@
     RELEASE_AGAIN.min(rules.held_for() / 2)
 }
 
-/// One router and the servers it chooses among: those of the platform, or the tool servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PoolId(pub u8);
-
-/// A request as a front hands it in.
-#[derive(Clone, Copy, Debug)]
-pub struct Admission {
-    /// Whose router decides.
-    pub pool: PoolId,
-    /// The request; when it expires is filled in here.
-    pub request: Request,
-    /// How long its client waits.
-    pub time_left: Micros,
-}
-
-/// What the transport reports.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A request has come in.
-    Request(Admission),
-    /// News of a pool's list, and the number of the generation that it makes.
-    List(PoolId, u64, ListUpdate),
-    /// The first event of an attempt's answer is here.
-    Started(RequestId, u32),
-    /// The last byte of an attempt has been written to its server.
-    Written(RequestId, u32),
-    /// An attempt has ended.
-    Ended {
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: u32,
-        /// How.
-        outcome: Outcome,
-        /// Prompt tokens found kept.
-        kept_tokens: u64,
-        /// The load report that came along.
-        report: Option<Report>,
-    },
-    /// A probe has ended.
-    Probed {
-        /// Whose server.
-        pool: PoolId,
-        /// The server.
-        server: ServerId,
-        /// How.
-        outcome: Outcome,
-        /// How long it took.
-        took: Micros,
-        /// What it told.
-        report: Option<Report>,
-    },
-    /// A call to let go of what is held for a request has ended; whether the server took it.
-    Released(RequestId, bool),
-    /// A place asked for ahead is held, or not.
-    Place(RequestId, ServerId, bool),
-    /// The client has left.
-    Gone(RequestId),
-}
-
-/// What the transport is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Send an attempt; its end is owed as [`Input::Ended`].
-    Send {
-        /// Whose server.
-        pool: PoolId,
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: u32,
-        /// Where to.
-        server: ServerId,
-        /// How long the wait may last.
-        time_left: Micros,
-        /// The generation of servers by which it was decided.
-        generation: u64,
-    },
-    /// Close an attempt's connection and report its end.
-    Cancel(RequestId, u32),
-    /// The attempt's answer is the client's.
-    Relay(RequestId, u32),
-    /// Final answer: refused, and when to come back.
-    Refuse(RequestId, Option<Micros>),
-    /// Final answer: failed.
-    Fail {
-        /// The request.
-        request: RequestId,
-        /// It may have run somewhere.
-        may_have_run: bool,
-        /// Its time was over.
-        overdue: bool,
-    },
-    /// Ask this server to let go of all that is held for the request; the end is owed as [`Input::Released`].
-    Release(PoolId, RequestId, ServerId),
-    /// Hold a place.
-    Hold(PoolId, RequestId, ServerId),
-    /// Probe a server.
-    Probe(PoolId, ServerId),
-    /// Close idle connections to a server.
-    CloseIdle(PoolId, ServerId),
-    /// A line for the operators.
-    Log(String),
-    /// What a choice looked at; only of pools that are observed.
-    Explain(Box<Choice>),
-    /// Nothing more will be said of the request.
-    Forget(RequestId),
+fn cancel(request: RequestId, attempt: u32, reason: CancelReason) -> Output {
+    Output::Cancel { request, attempt, reason }
 }
 
 struct Open {
@@ -237,14 +133,15 @@
                     let Some(a) = open.tries.out(attempt) else { continue };
                     if !started && !a.cancelled {
                         (a.timed_out, a.cancelled) = (true, true);
-                        out.push(Output::Cancel(id, attempt));
+                        out.push(cancel(id, attempt, CancelReason::TimeLimit));
                     }
                 }
                 Due::Connect(id, attempt) => {
                     let attempt_out = self.open.get_mut(&id).and_then(|open| open.tries.out(attempt));
                     let Some(a) = attempt_out.filter(|a| a.unsent() && !a.cancelled) else { continue };
                     (a.cut, a.cancelled) = (true, true);
-                    out.push(Output::Cancel(id, attempt));
+                    self.totals.unreachable += 1;
+                    out.push(cancel(id, attempt, CancelReason::NotWrittenInTime));
                 }
                 Due::Again(id) => {
                     let Some(open) = self.open.get_mut(&id) else { continue };
@@ -300,6 +197,7 @@
                 self.drive(now, pool, Event::Probed { server, outcome, took, report }, out);
             }
             Input::Released(id, took) => {
+                self.count_release(now, id, took);
                 self.ask_to_release(id, |release, ask| release.ended(now, took, ask), out);
             }
             Input::Place(request, server, held) => {
@@ -337,7 +235,7 @@
         if owned || a.cancelled {
             // The client has its answer already: a second one must not reach it.
             if !std::mem::replace(&mut a.cancelled, true) {
-                out.push(Output::Cancel(id, attempt));
+                out.push(cancel(id, attempt, CancelReason::AnsweredByAnother));
             }
             return;
         }
@@ -451,7 +349,7 @@
                 let started = open.owner == Some(attempt);
                 let a = open.tries.out(attempt).filter(|_| !started)?;
                 if !std::mem::replace(&mut a.cancelled, true) {
-                    out.push(Output::Cancel(request, attempt));
+                    out.push(cancel(request, attempt, CancelReason::GivenUp));
                 }
             }
             Action::Refuse { request, retry_after } => {
@@ -477,7 +375,7 @@
                 let a = open.tries.all.get_mut(attempt as usize)?;
                 a.cancelled = true;
                 self.count(pool, class, End::Broken);
-                out.push(Output::Cancel(request, attempt));
+                out.push(cancel(request, attempt, CancelReason::Moved));
             }
             Action::Release(request) => self.release(now, request, out),
             Action::HoldPlace { request, server } => out.push(Output::Hold(pool, request, server)),
@@ -587,6 +485,15 @@
         self.ask_to_release(id, |release, ask| release.tick(now, ask), out);
     }
 
+    /// The first server that takes a call to let go ends the time of what was held.
+    fn count_release(&mut self, now: Micros, id: RequestId, took: bool) {
+        let Some(open) = self.open.get(&id).filter(|open| took && open.releasing.is_some()) else { return };
+        let Some(pool) = self.pools.get(usize::from(open.pool.0)) else { return };
+        self.totals.released += 1;
+        let late = open.tries.held_since().is_some_and(|at| now > at + pool.settings.rules.release_within);
+        self.totals.released_late += u64::from(late);
+    }
+
     fn ask_to_release(
         &mut self,
         id: RequestId,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,8 +2,10 @@
 //! event and the time go in, outputs come out, in one synchronous call; the fronts and the plug-in share it.
 
 mod core;
+mod message;
 mod totals;
 mod tries;
 
-pub use self::core::{Admission, Core, Input, Output, PoolId};
+pub use self::core::Core;
+pub use self::message::{Admission, CancelReason, Input, Output, PoolId};
 pub use self::totals::{Handled, Totals};
--- a/src/routing/totals.rs
+++ b/src/routing/totals.rs
@@ -21,6 +21,13 @@
     pub gone: u64,
     /// Probes sent.
     pub probes: u64,
+    /// Attempts called off because no connection had taken them in time for the state that waited, or for the window in
+    /// which repeats are discarded.
+    pub unreachable: u64,
+    /// Requests of which a server has taken the call that lets go of what is held.
+    pub released: u64,
+    /// Those of them whose state had then waited for longer than the settings allow.
+    pub released_late: u64,
     /// Requests open now.
     pub open: u64,
     /// Servers that are listed now.
--- a/src/routing/tries.rs
+++ b/src/routing/tries.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Since when a state that was read has waited, if one was.
+    pub fn held_since(&self) -> Option<Micros> {
+        self.all.iter().any(|a| a.ended == Some(Outcome::Read)).then_some(self.since)
+    }
+
     /// No server has an attempt.
     pub fn at_no_server(&self) -> bool {
         self.all.iter().all(|a| a.ended.is_some() || a.unsent())
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -204,11 +204,11 @@
                     }
                 }
             }
-            Output::Cancel(request, attempt) => {
+            Output::Cancel { request, attempt, reason } => {
                 let Some(held) = self.held.get_mut(&request) else { return };
                 held.heads.retain(|(number, _)| *number != attempt);
                 if let Some(peer) = held.at(attempt) {
-                    tell(&peer, ToPeer::Cancel(request, attempt)).await;
+                    tell(&peer, ToPeer::Cancel(request, attempt, reason)).await;
                 }
             }
             Output::Relay(request, attempt) => {
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -358,9 +358,14 @@
         self.link.connection_metadata().is_some()
     }
 
+    /// Whether the last byte of the request has been written.
+    pub fn written(&self) -> bool {
+        self.written.load(Ordering::Relaxed)
+    }
+
     /// Whether the last byte of the request was written before this error: only then may it have run.
     pub fn may_have_run(&self, error: &Error) -> bool {
-        !error.is_connect() && self.written.load(Ordering::Relaxed)
+        !error.is_connect() && self.written()
     }
 
     /// Has nothing more of the request come to its server: its connection writes no more, and is reset as it closes.
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -22,7 +22,7 @@
 use crate::interface::*;
 use crate::protocol::platform::{self, Spoilt, Tail};
 use crate::protocol::settings::{Links, ReportField};
-use crate::routing::{Input, PoolId};
+use crate::routing::{CancelReason, Input, PoolId};
 
 /// Messages that may wait for a peer.
 const MAILBOX: usize = 1024;
@@ -43,7 +43,7 @@
     /// Send an attempt.
     Send(Attempt),
     /// Close the connection of an attempt.
-    Cancel(RequestId, u32),
+    Cancel(RequestId, u32, CancelReason),
     /// Post a message of which only the arrival matters.
     Post(Arc<Payload>),
     /// Probe.
@@ -132,7 +132,7 @@
 
 async fn run(mut peer: Peer, mut inbox: mpsc::Receiver<ToPeer>) {
     let mut calls = JoinSet::new();
-    let mut cancels: HashMap<(RequestId, u32), oneshot::Sender<()>> = HashMap::new();
+    let mut cancels: HashMap<(RequestId, u32), oneshot::Sender<CancelReason>> = HashMap::new();
     loop {
         let message = tokio::select! {
             message = inbox.recv() => message,
@@ -154,10 +154,10 @@
                     Some(key)
                 });
             }
-            Some(ToPeer::Cancel(request, number)) => {
+            Some(ToPeer::Cancel(request, number, reason)) => {
                 // The call's end then reports; without an entry it has reported already.
                 if let Some(cancel) = cancels.remove(&(request, number)) {
-                    let _ = cancel.send(());
+                    let _ = cancel.send(reason);
                 }
             }
             Some(ToPeer::Post(payload)) => {
@@ -174,11 +174,16 @@
             }
             Some(ToPeer::Release(request, id)) => {
                 calls.spawn(async move {
-                    let call = one.lease(Method::DELETE, &id);
+                    let (began, call) = (Instant::now(), one.lease(Method::DELETE, &id));
                     let status = tokio::time::timeout(RELEASE_WITHIN, call).await.ok().flatten();
                     tracing::debug!(
                         target: "birchspur::attempt",
-                        { request.id = id.as_str(), server.address = one.address.as_str(), ?status },
+                        {
+                            request.id = id.as_str(),
+                            server.address = one.address.as_str(),
+                            ?status,
+                            took_us = began.elapsed().as_micros() as u64
+                        },
                         "release"
                     );
                     one.report(Input::Released(request, status.is_some())).await;
@@ -236,7 +241,7 @@
         self.common.hub.send(Message::Input(input)).await;
     }
 
-    async fn attempt(&self, attempt: Attempt, cancelled: oneshot::Receiver<()>) {
+    async fn attempt(&self, attempt: Attempt, cancelled: oneshot::Receiver<CancelReason>) {
         let (request, number, id) = (attempt.request, attempt.number, attempt.payload.id.clone());
         tracing::debug!(
             target: "birchspur::attempt",
@@ -244,18 +249,23 @@
                 request.id = id.as_str(),
                 attempt = number,
                 server.address = self.address.as_str(),
-                generation = attempt.generation
+                generation = attempt.generation,
+                time_left_us = attempt.time_left
             },
             "send"
         );
+        let began = Instant::now();
+        let (mut reason, mut written) = (None, false);
         let end = match self.message(attempt) {
             // Leaving the call drops its connection, so that the server sees the end.
             Some((message, fate)) => {
                 let ended = select(cancelled, Box::pin(self.call(message, &fate, (request, number)))).await;
                 // Before the call is left: whatever is told of it from here on, it gets no further.
-                if matches!(ended, Either::Left(_)) {
+                if let Either::Left((called_off, _)) = &ended {
                     fate.give_up();
+                    reason = called_off.as_ref().ok().copied();
                 }
+                written = fate.written();
                 match ended {
                     Either::Left(_) if !fate.connected() => End::of(Outcome::ConnectFailed),
                     Either::Left(_) => End::of(Outcome::Cancelled),
@@ -268,7 +278,15 @@
         let End { outcome, kept_tokens, .. } = end;
         tracing::debug!(
             target: "birchspur::attempt",
-            { request.id = id.as_str(), attempt = number, server.address = self.address.as_str(), ?outcome },
+            {
+                request.id = id.as_str(),
+                attempt = number,
+                server.address = self.address.as_str(),
+                ?outcome,
+                written,
+                called_off = ?reason,
+                took_us = began.elapsed().as_micros() as u64
+            },
             "ended"
         );
         self.report(Input::Ended { request, attempt: number, outcome, kept_tokens, report }).await;
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -171,7 +171,7 @@
                         self.later(40 * MS, end(Outcome::Served));
                     }
                 }
-                Output::Cancel(request, attempt) => {
+                Output::Cancel { request, attempt, .. } => {
                     let (outcome, kept_tokens, report) = (Outcome::Cancelled, 0, None);
                     self.later(MS, Input::Ended { request, attempt, outcome, kept_tokens, report });
                 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -83,7 +83,7 @@
     let failed = Output::Fail { request: id, may_have_run: true, overdue: true };
     assert!(out.contains(&failed), "{out:?}");
     assert_eq!(answers(&out), 1);
-    let cancels = out.iter().filter(|o| matches!(o, Output::Cancel(_, 1))).count();
+    let cancels = out.iter().filter(|o| matches!(o, Output::Cancel { attempt: 1, .. })).count();
     assert_eq!(cancels, 1, "{out:?}");
     // Its answer begins and ends after all: neither reaches the client, both reach the module.
     assert_eq!(answers(&stand.input(Input::Started(id, 1))), 0);
@@ -112,7 +112,7 @@
     let mut stand = Stand::new(Effect::Safe);
     let (id, _) = stand.request();
     let out = stand.input(Input::Gone(id));
-    assert!(matches!(out[..], [Output::Cancel(..), Output::Release(_, _, ServerId(1))]), "{out:?}");
+    assert!(matches!(out[..], [Output::Cancel { .. }, Output::Release(_, _, ServerId(1))]), "{out:?}");
     let out = stand.ended(id, 0, Outcome::Cancelled);
     assert!(!out.contains(&Output::Forget(id)), "{out:?}");
     assert_eq!(stand.input(Input::Released(id, true)), [], "it is let go of once more");
@@ -157,8 +157,8 @@
             if !asked(&out).is_empty() {
                 break stand.now;
             }
-            out = match out.iter().find(|o| matches!(o, Output::Cancel(..))) {
-                Some(Output::Cancel(_, attempt)) => stand.ended(id, *attempt, Outcome::ConnectFailed),
+            out = match out.iter().find(|o| matches!(o, Output::Cancel { .. })) {
+                Some(Output::Cancel { attempt, .. }) => stand.ended(id, *attempt, Outcome::ConnectFailed),
                 _ => stand.tick(stand.core.next_due().expect("its time runs")),
             };
         };
@@ -226,3 +226,19 @@
     );
     assert_eq!(stand.core.totals(stand.now).broken, 1);
 }
+
+/// Failure: nobody sees that states wait for too long.
+#[test]
+fn a_late_release_is_counted() {
+    for (waits, late) in [(50 * MS, 0), (2 * S, 1)] {
+        let mut stand = Stand::new(Effect::Unsafe);
+        let (id, _) = stand.request();
+        stand.ended(id, 0, Outcome::Read);
+        let asked = stand.input(Input::Gone(id));
+        assert!(asked.iter().any(|o| matches!(o, Output::Release(..))), "{asked:?}");
+        stand.now += waits;
+        stand.input(Input::Released(id, true));
+        let totals = stand.core.totals(stand.now);
+        assert_eq!((totals.released, totals.released_late), (1, late), "{waits}");
+    }
+}
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -253,7 +253,7 @@
         for output in out {
             match output {
                 Output::Send { request, attempt, server, .. } => self.send(request, attempt, server),
-                Output::Cancel(id, n) => {
+                Output::Cancel { request: id, attempt: n, .. } => {
                     let sent = &self.truth[&id].sent[n as usize];
                     if sent.ended.is_some() {
                         continue;
