Close the longest idle connection to a server when a new one needs its descriptor

At fault: connector::Connector::call took a permit or failed; nothing made idle connections give theirs up.

Now a connection is listed as idle from the end of its request, and the one that has been so for longest is closed when no permit is left; the new one waits for that within its connect time. A connection in use makes no room.

tests/dials.rs: an_idle_connection_makes_room_for_a_new_one failed without the change (NoPermits at the third server).

--- a/src/program/lists.rs
+++ b/src/program/lists.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use super::error::ProgramError;
 use super::site::{self, Frame, NO_RULES};
@@ -21,6 +21,10 @@
 use crate::transport::list::files::{self, Directory};
 use crate::transport::list::{ListActor, ListParts, Try, age, keep};
 use crate::transport::peer::connector;
+use crate::transport::peer::idle::ConnectionBudget;
+
+/// Connections to discovery: one is enough, and those before it may still be closing.
+const DISCOVERY_CONNECTIONS: usize = 4;
 
 /// What sets are checked against.
 pub(super) fn catalog(names: &Names, settings: &Settings, files: Option<&Watched>) -> Catalog {
@@ -84,7 +88,7 @@
             read_files(&mut list, watched, &handle).await?;
         }
         if let Some(address) = self.discovery {
-            let client = connector::client(self.links, Arc::new(Semaphore::new(4)));
+            let client = connector::client(self.links, ConnectionBudget::new(DISCOVERY_CONNECTIONS));
             tokio::spawn(
                 Watcher {
                     address,
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -1,11 +1,8 @@
 //! The descriptor budget: fronts and peers each have a part, so that neither can starve the other.
 
-use std::sync::Arc;
-
-use tokio::sync::Semaphore;
-
 use super::clock::Clock;
 use super::front::connection::Connections;
+use super::peer::idle::ConnectionBudget;
 use crate::protocol::config::LEAST_SOCKETS;
 use crate::recovery::Socket;
 
@@ -21,7 +18,7 @@
     /// Connections of clients, over all fronts.
     pub fronts: Connections,
     /// Connections to peers, over all pools.
-    pub peers: Arc<Semaphore>,
+    pub peers: ConnectionBudget,
 }
 
 impl Budget {
@@ -34,10 +31,7 @@
         }
         let all = allowed.saturating_sub(RESERVED);
         let fronts = (all as f64 * FRONTS) as usize;
-        Budget {
-            fronts: Connections::new(fronts, socket, clock),
-            peers: Arc::new(Semaphore::new(all - fronts)),
-        }
+        Budget { fronts: Connections::new(fronts, socket, clock), peers: ConnectionBudget::new(all - fronts) }
     }
 }
 
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -18,9 +18,10 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::idle::{ConnectionBudget, Idleness};
 use crate::protocol::settings::Links;
 
 /// Part of a server's idle limit after which a connection is no longer used: past the limit a request
@@ -44,7 +45,7 @@
 pub type PeerClient = Client<Connector, Tracked>;
 
 /// Makes a client.
-pub fn client(links: Links, permits: Arc<Semaphore>) -> PeerClient {
+pub fn client(links: Links, budget: ConnectionBudget) -> PeerClient {
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_idle_timeout(Duration::from_micros((links.idle as f64 * IDLE_PART) as u64))
@@ -52,14 +53,14 @@
         .http1_max_buf_size(MOST_HEAD)
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
-        .build(Connector { within: Duration::from_micros(links.connect), permits })
+        .build(Connector { within: Duration::from_micros(links.connect), budget })
 }
 
 /// Opens connections within the time that the settings give and the descriptors that the budget has.
 #[derive(Clone)]
 pub struct Connector {
     within: Duration,
-    permits: Arc<Semaphore>,
+    budget: ConnectionBudget,
 }
 
 impl tower::Service<Uri> for Connector {
@@ -72,17 +73,20 @@
     }
 
     fn call(&mut self, to: Uri) -> Self::Future {
-        let (within, permits) = (self.within, self.permits.clone());
+        let (within, budget) = (self.within, self.budget.clone());
         Box::pin(async move {
-            let permit = permits.try_acquire_owned().map_err(io::Error::other)?;
             let authority = to.authority().ok_or_else(|| io::Error::other("no address"))?;
-            let stream = tokio::time::timeout(within, TcpStream::connect(authority.as_str())).await??;
+            let connect = async {
+                let permit = budget.acquire().await?;
+                TcpStream::connect(authority.as_str()).await.map(|stream| (permit, stream))
+            };
+            let (permit, stream) = tokio::time::timeout(within, connect).await??;
             stream.set_nodelay(true)?;
             Ok(Link {
                 io: TokioIo::new(stream),
                 turn: Turn::Asking,
                 last: [0; 4],
-                progress: Arc::default(),
+                progress: Arc::new(Progress::new(budget.idleness())),
                 _permit: permit,
             })
         })
@@ -93,7 +97,6 @@
 pub type Told = Box<dyn FnOnce() + Send>;
 
 /// How far the request that is on a connection has got.
-#[derive(Default)]
 struct Progress {
     /// Who is told, once, that all of it has been written; there from when its last byte is in the connection's buffer.
     tell: Mutex<Option<Told>>,
@@ -103,13 +106,29 @@
     carries: AtomicU64,
     /// Which one has been given up: nothing more of it may come to the server.
     given_up: AtomicU64,
+    idleness: Idleness,
 }
 
 impl Progress {
+    fn new(idleness: Idleness) -> Self {
+        Progress {
+            tell: Mutex::default(),
+            amid: AtomicBool::default(),
+            carries: AtomicU64::default(),
+            given_up: AtomicU64::default(),
+            idleness,
+        }
+    }
+
     fn told(&self) -> MutexGuard<'_, Option<Told>> {
         self.tell.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the connection was handed this request last.
+    fn carries(&self, serial: u64) -> bool {
+        self.carries.load(Ordering::Relaxed) == serial
+    }
+
     /// Whether nobody waits for the request that it carries any more.
     fn given_up(&self) -> bool {
         let given_up = self.given_up.load(Ordering::Relaxed);
@@ -192,6 +211,9 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let link = &mut *self;
+        if link.progress.idleness.has_to_close(cx) {
+            return Poll::Ready(Ok(()));
+        }
         let mut space = [0; READ];
         let most = buf.remaining().min(READ);
         let mut part = ReadBuf::new(&mut space[..most]);
@@ -256,6 +278,7 @@
     /// The system would go on sending what a silent server has not acknowledged, also once a cut network is back, and
     /// the request would run then. A reset drops it.
     fn drop(&mut self) {
+        self.progress.idleness.end();
         if self.progress.given_up() {
             let _ = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO));
         }
@@ -299,6 +322,7 @@
         let Some(progress) = self.link.as_ref().and_then(progress) else { return };
         if let Some(tell) = self.tell.lock().unwrap_or_else(PoisonError::into_inner).take() {
             progress.amid.store(false, Ordering::Relaxed);
+            progress.idleness.end();
             progress.carries.store(self.serial, Ordering::Relaxed);
             *progress.told() = Some(tell);
         }
@@ -348,6 +372,8 @@
     fn drop(&mut self) {
         if !self.written.load(Ordering::Relaxed) {
             self.give_up();
+        } else if let Some(progress) = progress(&self.link).filter(|progress| progress.carries(self.serial)) {
+            progress.idleness.begin();
         }
     }
 }
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -2,6 +2,7 @@
 //! and reports how each ended.
 
 pub mod connector;
+pub mod idle;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/tests/dials.rs
+++ b/tests/dials.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use http::Request;
+use http_body_util::BodyExt;
 use milletseam::protocol::settings::Links;
 use milletseam::transport::peer::connector::{Tracked, client};
+use milletseam::transport::peer::idle::ConnectionBudget;
 use peers::stopwatch::Stopwatch;
 use peers::*;
 use serde_json::json;
@@ -55,7 +57,7 @@
     story(async {
         let full = Full::start().await;
         let permits = Arc::new(Semaphore::new(2));
-        let peers = client(LINKS, permits.clone());
+        let peers = client(LINKS, ConnectionBudget::of(permits.clone()));
         let call = || {
             let mut request = Request::new(Tracked::empty());
             *request.uri_mut() = format!("http://{}/alive", full.address).parse().expect("an address");
@@ -196,7 +198,7 @@
     story(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
-        let peers = client(LINKS, Arc::new(Semaphore::new(9)));
+        let peers = client(LINKS, ConnectionBudget::new(9));
         // Far more than the system takes at once; the server reads so much of it before its reset.
         let long = 32 << 20;
         for (body, reads) in
@@ -225,3 +227,51 @@
         }
     });
 }
+
+/// Failure: connections that are idle hold all descriptors, and no new one can be made until they are too old.
+#[test]
+fn an_idle_connection_makes_room_for_a_new_one() {
+    story(async {
+        let budget = ConnectionBudget::new(2);
+        let peers = client(LINKS, budget);
+        let mut servers = Vec::new();
+        for _ in 0..4 {
+            servers.push(Peer::start().await);
+        }
+        let call = async |server: usize| {
+            let mut head = Request::new(());
+            *head.uri_mut() =
+                format!("http://{}/alive", servers[server].address).parse().expect("an address");
+            let (message, fate) = Tracked::attach(head, bytes::Bytes::new(), Box::new(|| {}));
+            let answer = peers.request(message).await.expect("a connection");
+            let body = answer.into_body().collect().await.expect("a whole answer");
+            drop(fate);
+            assert!(!body.to_bytes().is_empty());
+        };
+        // Each server in turn, twice: the third and the fourth find no descriptor free.
+        for round in 0..8 {
+            timeout(Duration::from_secs(2), call(round % 4)).await.expect("in time");
+        }
+    });
+}
+
+/// Failure: a connection on which a request is out is closed for another one.
+#[test]
+fn a_connection_in_use_makes_no_room() {
+    story(async {
+        let peers = client(LINKS, ConnectionBudget::new(1));
+        let (mut slow, other) = (Peer::start().await, Peer::start().await);
+        let message = |peer: &Peer| {
+            let mut head = Request::new(());
+            *head.uri_mut() = format!("http://{}/slow", peer.address).parse().expect("an address");
+            Tracked::attach(head, bytes::Bytes::new(), Box::new(|| {}))
+        };
+        let (out, _fate) = message(&slow);
+        let first = tokio::spawn(peers.request(out));
+        let mut seen = slow.next().await;
+        let (refused, _other_fate) = message(&other);
+        assert!(peers.request(refused).await.expect_err("there is no room").is_connect());
+        seen.answer("200 OK", "", "ok").await;
+        assert!(first.await.expect("no panic").expect("an answer").status().is_success());
+    });
+}
--- a/tests/given_up.rs
+++ b/tests/given_up.rs
@@ -3,16 +3,15 @@
 
 mod peers;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request};
 use milletseam::protocol::settings::Links;
 use milletseam::transport::peer::connector::{self, REST, Tracked};
+use milletseam::transport::peer::idle::ConnectionBudget;
 use peers::*;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Rounds in which the machine stood still do not count.
@@ -28,7 +27,7 @@
 
 fn client() -> connector::PeerClient {
     let links = Links { idle: 15_000_000, connect: 1_000_000 };
-    connector::client(links, Arc::new(Semaphore::new(10)))
+    connector::client(links, ConnectionBudget::new(10))
 }
 
 /// Failure: the connection of a request that is given up is flushed before it is closed, and brings the request to a
