Fetch read states on connections of their own, so that none waits on a silent one

Cause: a fetch went out on any open connection, and from its last written byte on it counted as out, which stopped the clock of the state (routing::Tries: `unsent` looks at `written` alone; choice::Router::on_ended began the time anew at its end). An open connection may have fallen silent with no error: the send never arrives, and the state waits until the router's patience ends, 0.8 to 1.2 s (PATIENCE_LEAST) and up to the whole deadline, where 0.6 s are allowed.

Change: what ends the time of a state goes out on a connection that has come up for it (ConnectionChoice::New). A connection that does not come up was bounded before. A release goes out on an open connection first, and on new ones from the second round on.

--- a/crates/lab/src/policy/plain.rs
+++ b/crates/lab/src/policy/plain.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use milletseam::interface::*;
-use milletseam::routing::{CancelReason, Input, Output, PoolId};
+use milletseam::routing::{CancelReason, ConnectionChoice, Input, Output, PoolId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -120,7 +120,15 @@
         open.sent.push(to);
         open.out = true;
         let time_left = open.expires.saturating_sub(now);
-        out.push(Output::Send { pool: POOL, request: id, attempt, server: to, time_left, generation: 0 });
+        out.push(Output::Send {
+            pool: POOL,
+            request: id,
+            attempt,
+            server: to,
+            time_left,
+            generation: 0,
+            connection: ConnectionChoice::Any,
+        });
         self.open.insert(id, open);
     }
 
@@ -139,7 +147,12 @@
             });
         }
         if let Some(reader) = open.read_at {
-            out.push(Output::Release(POOL, id, reader));
+            out.push(Output::Release {
+                pool: POOL,
+                request: id,
+                server: reader,
+                connection: ConnectionChoice::Any,
+            });
         }
         let (may_have_run, overdue) = (open.may_have_run, now >= open.expires);
         let open = &self.open[&id];
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -362,7 +362,7 @@
                     self.answer(number(request), "failed");
                 }
                 // Whoever is asked passes it on to all.
-                CoreOutput::Release(_, request, _) => {
+                CoreOutput::Release { request, .. } => {
                     let (n, mut held) = (number(request), Vec::new());
                     for (holder, engine) in self.engines.iter().enumerate() {
                         let reads = (0..8).map(|attempt| job(n, attempt)).filter(|id| engine.holds(*id));
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -318,7 +318,7 @@
                 self.answer(request, at, Answer::Failed { may_have_run });
             }
             Output::Probe(_, server) => self.soon(self.now + ROUND_TRIP, Next::Probed { of, server }),
-            Output::Release(_, request, _) => {
+            Output::Release { request, .. } => {
                 self.soon(self.now + ROUND_TRIP, Next::Release { of, request });
                 if let Some(story) = self.story(request) {
                     story.released.push(at);
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -31,7 +31,8 @@
 use crate::transport::hub::message::Counted;
 use crate::transport::hub::{self, message::Hub};
 use crate::transport::inherited::inherited;
-use crate::transport::peer::{Common, Dialect, connector};
+use crate::transport::peer::connector::Clients;
+use crate::transport::peer::{Common, Dialect};
 
 /// The deadline is counted as at least this by those who send SIGKILL...
 const LEAST_DEADLINE: Micros = 3_000_000;
@@ -141,9 +142,9 @@
         let deadline = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let (mut actor, hub) = hub::new(core, clock, budget.clone());
         let names = config.settings.clone().names();
-        let client = connector::client(links, budget.peers.clone());
+        let clients = Clients::new(links, &budget.peers);
         let fields = names.report.clone().into();
-        let common = Common { pool, hub: hub.clone(), client, links, dialect: Dialect::Platform, fields };
+        let common = Common { pool, hub: hub.clone(), clients, links, dialect: Dialect::Platform, fields };
         actor.add_pool(common, names.classes.clone());
         let listener = match accept {
             Some(accept) => Listener::adopt(accept, budget.fronts.clone())?,
--- a/src/program/tools.rs
+++ b/src/program/tools.rs
@@ -12,14 +12,15 @@
 use crate::routing::PoolId;
 use crate::transport::clock::Clock;
 use crate::transport::hub::message::Hub;
-use crate::transport::peer::{Common, Dialect, connector};
+use crate::transport::peer::connector::Clients;
+use crate::transport::peer::{Common, Dialect};
 use crate::transport::relay::{Relay, Tool};
 
 /// What the peers of the tool servers' pool share.
 pub(super) fn common(rpc: &Rpc, pool: PoolId, hub: &Hub) -> Common {
-    let client = connector::client(rpc.links, hub.budget().peers.clone());
+    let clients = Clients::new(rpc.links, &hub.budget().peers);
     let fields = rpc.names.report.clone().into();
-    Common { pool, hub: hub.clone(), client, links: rpc.links, dialect: Dialect::Tools, fields }
+    Common { pool, hub: hub.clone(), clients, links: rpc.links, dialect: Dialect::Tools, fields }
 }
 
 /// Hands on the list and watches it; gives the way of calls to the servers.
--- a/src/recovery/release.rs
+++ b/src/recovery/release.rs
@@ -21,6 +21,8 @@
     /// How many of those have not answered.
     out: usize,
     within: Micros,
+    /// All have been asked at least once.
+    repeats: bool,
     /// The pause before the next round.
     pause: Micros,
     due: Option<Micros>,
@@ -33,7 +35,7 @@
     pub fn new(now: Micros, order: Vec<ServerId>, within: Micros) -> Self {
         let (due, done) = ((!order.is_empty()).then_some(now), order.is_empty());
         let pause = within.max(LEAST_PAUSE);
-        Release { order, asked: 0, out: 0, within, pause, due, until: now + FREED, done }
+        Release { order, asked: 0, out: 0, within, repeats: false, pause, due, until: now + FREED, done }
     }
 
     /// Somebody has taken the call, or nobody will.
@@ -41,6 +43,11 @@
         self.done
     }
 
+    /// Servers are asked again: each connection that was used before may have fallen silent.
+    pub fn repeats(&self) -> bool {
+        self.repeats
+    }
+
     /// When [`Release::tick`] is next due.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.filter(|_| !self.done)
@@ -65,7 +72,7 @@
     /// Each wave asks as many as all before it: few where the first ones are well, all in few steps where none is.
     fn wave(&mut self, now: Micros, ask: &mut Vec<ServerId>) {
         if self.asked == self.order.len() {
-            self.asked = 0;
+            (self.asked, self.repeats) = (0, true);
             self.done |= now >= self.until;
             if self.done {
                 return;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -4,7 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::message::{Admission, CancelReason, Input, Output, PoolId};
+use super::message::{Admission, CancelReason, ConnectionChoice, Input, Output, PoolId};
 use super::totals::{End, Handled, Totals};
 use super::tries::{Attempt, Tries};
 use crate::choice::Router;
@@ -429,6 +429,8 @@
         // The way to the server takes time, too.
         let repeat_by = repeats_until.map(|until| until.saturating_sub(known.settings.step));
         let fetch_by = open.tries.connect_by(now, &known.settings.rules).filter(|_| !reads);
+        // A send that does not arrive stops no clock, and the time of what is held runs on.
+        let connection = if fetch_by.is_some() { ConnectionChoice::New } else { ConnectionChoice::Any };
         let connect_by = fetch_by.into_iter().chain(repeat_by).min();
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
@@ -445,7 +447,7 @@
         }
         let (time_left, generation) = (give_up - now, known.generation);
         self.totals.sent += 1;
-        out.push(Output::Send { pool, request, attempt, server, time_left, generation });
+        out.push(Output::Send { pool, request, attempt, server, time_left, generation, connection });
         self.wake(give_up, Due::GiveUp(request, attempt));
         if let Some(by) = connect_by {
             self.wake(by, Due::Connect(request, attempt));
@@ -504,7 +506,8 @@
         let (Some(release), pool, mut ask) = (&mut open.releasing, open.pool, Vec::new()) else { return };
         step(release, &mut ask);
         let (done, due) = (release.done(), release.next_due().filter(|_| !ask.is_empty()));
-        out.extend(ask.into_iter().map(|server| Output::Release(pool, id, server)));
+        let connection = if release.repeats() { ConnectionChoice::New } else { ConnectionChoice::Any };
+        out.extend(ask.into_iter().map(|server| Output::Release { pool, request: id, server, connection }));
         if done {
             open.releasing = None;
             self.forget(id, out);
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -62,6 +62,15 @@
     Gone(RequestId),
 }
 
+/// The connection that a call goes out on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// One that is open and idle, or a new one if there is none.
+    Any,
+    /// A new one: it has come up just before the call is written, while an open one may have fallen silent.
+    New,
+}
+
 /// Why an attempt is called off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelReason {
@@ -95,6 +104,8 @@
         time_left: Micros,
         /// The generation of servers by which it was decided.
         generation: u64,
+        /// The connection to send it on.
+        connection: ConnectionChoice,
     },
     /// Close an attempt's connection and report its end.
     Cancel {
@@ -118,8 +129,17 @@
         /// Its time was over.
         overdue: bool,
     },
-    /// Ask this server to let go of all that is held for the request; the end is owed as [`Input::Released`].
-    Release(PoolId, RequestId, ServerId),
+    /// Ask a server to let go of all that is held for the request; the end is owed as [`Input::Released`].
+    Release {
+        /// Whose server.
+        pool: PoolId,
+        /// The request.
+        request: RequestId,
+        /// The server that is asked.
+        server: ServerId,
+        /// The connection to ask on.
+        connection: ConnectionChoice,
+    },
     /// Hold a place.
     Hold(PoolId, RequestId, ServerId),
     /// Probe a server.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,5 +7,5 @@
 mod tries;
 
 pub use self::core::Core;
-pub use self::message::{Admission, CancelReason, Input, Output, PoolId};
+pub use self::message::{Admission, CancelReason, ConnectionChoice, Input, Output, PoolId};
 pub use self::totals::{Handled, Totals};
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -182,7 +182,7 @@
 
     async fn carry_out(&mut self, output: Output) {
         match output {
-            Output::Send { pool, request, attempt, server, time_left, generation } => {
+            Output::Send { pool, request, attempt, server, time_left, generation, connection } => {
                 let peer = self.peer(pool, server);
                 let Some(held) = self.held.get_mut(&request) else { return };
                 // Its client has gone, and the message that says so still stands in the mailbox.
@@ -192,7 +192,7 @@
                     return self.again([Input::Gone(request), ended]);
                 }
                 let payload = held.payload.clone();
-                let send = Attempt { request, number: attempt, payload, time_left, generation };
+                let send = Attempt { request, number: attempt, payload, time_left, generation, connection };
                 match peer {
                     Some(peer) => {
                         held.sent.push((attempt, peer.clone()));
@@ -224,11 +224,11 @@
             Output::Fail { request, may_have_run, overdue } => {
                 self.answer(request, Reply::Failed { may_have_run, overdue });
             }
-            Output::Release(pool, request, server) => {
+            Output::Release { pool, request, server, connection } => {
                 let Some(held) = self.held.get(&request) else { return };
                 let id = held.payload.id.clone();
                 match self.peer(pool, server) {
-                    Some(peer) => tell(&peer, ToPeer::Release(request, id)).await,
+                    Some(peer) => tell(&peer, ToPeer::Release(request, id, connection)).await,
                     None => self.again([Input::Released(request, false)]),
                 }
             }
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -23,6 +23,7 @@
 
 use super::idle::{ConnectionBudget, Idleness};
 use crate::protocol::settings::Links;
+use crate::routing::ConnectionChoice;
 
 /// Part of a server's idle limit after which a connection is no longer used: past the limit a request
 /// written to it would end as a reset. The pool closes what is no longer used once in such a span, so that
@@ -44,12 +45,38 @@
 /// The client for peers. It never sends anything again by itself.
 pub type PeerClient = Client<Connector, Tracked>;
 
-/// Makes a client.
+/// Makes a client that keeps connections.
 pub fn client(links: Links, budget: ConnectionBudget) -> PeerClient {
+    client_with(links, budget, MOST_IDLE)
+}
+
+/// The clients for the servers of a pool.
+#[derive(Clone)]
+pub struct Clients {
+    keeping: PeerClient,
+    dialling: PeerClient,
+}
+
+impl Clients {
+    /// Makes them. All connections draw on the same budget.
+    pub fn new(links: Links, budget: &ConnectionBudget) -> Self {
+        Clients { keeping: client(links, budget.clone()), dialling: client_with(links, budget.clone(), 0) }
+    }
+
+    /// The client whose connections are of this choice.
+    pub fn of(&self, connection: ConnectionChoice) -> &PeerClient {
+        match connection {
+            ConnectionChoice::Any => &self.keeping,
+            ConnectionChoice::New => &self.dialling,
+        }
+    }
+}
+
+fn client_with(links: Links, budget: ConnectionBudget, most_idle: usize) -> PeerClient {
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_idle_timeout(Duration::from_micros((links.idle as f64 * IDLE_PART) as u64))
-        .pool_max_idle_per_host(MOST_IDLE)
+        .pool_max_idle_per_host(most_idle)
         .http1_max_buf_size(MOST_HEAD)
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -18,12 +18,12 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use self::connector::{Fate, PeerClient, Tracked, unreadable};
+use self::connector::{Clients, Fate, Tracked, unreadable};
 use super::hub::message::{Body, Hub, Message, Part, Payload};
 use crate::interface::*;
 use crate::protocol::platform::{self, Spoilt, Tail};
 use crate::protocol::settings::{Links, ReportField};
-use crate::routing::{CancelReason, Input, PoolId};
+use crate::routing::{CancelReason, ConnectionChoice, Input, PoolId};
 
 /// Messages that may wait for a peer.
 const MAILBOX: usize = 1024;
@@ -50,7 +50,7 @@
     /// Probe.
     Probe,
     /// Let go of what is held for the request under this id.
-    Release(RequestId, String),
+    Release(RequestId, String, ConnectionChoice),
     /// Hold a place under this id.
     Hold(RequestId, String),
     /// Close idle connections.
@@ -71,6 +71,8 @@
     pub time_left: Micros,
     /// The generation of servers by which it was decided.
     pub generation: u64,
+    /// The connection to send it on.
+    pub connection: ConnectionChoice,
 }
 
 /// What the servers of a pool speak.
@@ -107,8 +109,8 @@
     pub pool: PoolId,
     /// Where outcomes go.
     pub hub: Hub,
-    /// The client.
-    pub client: PeerClient,
+    /// The clients.
+    pub clients: Clients,
     /// What holds for connections.
     pub links: Links,
     /// What they speak.
@@ -173,9 +175,9 @@
                     None
                 });
             }
-            Some(ToPeer::Release(request, id)) => {
+            Some(ToPeer::Release(request, id, connection)) => {
                 calls.spawn(async move {
-                    let (began, call) = (Instant::now(), one.lease(Method::DELETE, &id));
+                    let (began, call) = (Instant::now(), one.lease(Method::DELETE, &id, connection));
                     let status = tokio::time::timeout(RELEASE_WITHIN, call).await.ok().flatten();
                     tracing::debug!(
                         target: "birchspur::attempt",
@@ -193,7 +195,9 @@
             }
             Some(ToPeer::Hold(request, id)) => {
                 calls.spawn(async move {
-                    if let Some(held) = one.lease(Method::POST, &id).await.and_then(place) {
+                    if let Some(held) =
+                        one.lease(Method::POST, &id, ConnectionChoice::Any).await.and_then(place)
+                    {
                         one.report(Input::Place(request, one.server, held)).await;
                     }
                     None
@@ -201,7 +205,7 @@
             }
             Some(ToPeer::CloseIdle) => {
                 let Common { links, ref hub, .. } = peer.common;
-                peer.common.client = connector::client(links, hub.budget().peers.clone());
+                peer.common.clients = Clients::new(links, &hub.budget().peers);
             }
             Some(ToPeer::Moved(address)) => peer.address = address,
             // The list has dropped the peer: what is out ends first.
@@ -244,6 +248,7 @@
 
     async fn attempt(&self, attempt: Attempt, cancelled: oneshot::Receiver<CancelReason>) {
         let (request, number, id) = (attempt.request, attempt.number, attempt.payload.id.clone());
+        let connection = attempt.connection;
         tracing::debug!(
             target: "birchspur::attempt",
             {
@@ -251,7 +256,8 @@
                 attempt = number,
                 server.address = self.address.as_str(),
                 generation = attempt.generation,
-                time_left_us = attempt.time_left
+                time_left_us = attempt.time_left,
+                ?connection
             },
             "send"
         );
@@ -260,7 +266,9 @@
         let end = match self.message(attempt) {
             // Leaving the call drops its connection, so that the server sees the end.
             Some((message, fate)) => {
-                let ended = select(cancelled, Box::pin(self.call(message, &fate, (request, number)))).await;
+                let ended =
+                    select(cancelled, Box::pin(self.call(message, &fate, (request, number, connection))))
+                        .await;
                 // Before the call is left: whatever is told of it from here on, it gets no further.
                 if let Either::Left((called_off, _)) = &ended {
                     fate.give_up();
@@ -295,7 +303,7 @@
 
     /// The message of an attempt, and what will tell its fate; none if the server's address is no address.
     fn message(&self, attempt: Attempt) -> Option<(Request<Tracked>, Fate)> {
-        let Attempt { request, number, payload, time_left, generation: _ } = attempt;
+        let Attempt { request, number, payload, time_left, .. } = attempt;
         let mut head = payload.head();
         head.headers_mut().insert(platform::TIME_LEFT, (time_left / 1000).into());
         let head = self.addressed(head, &payload.path)?;
@@ -304,8 +312,14 @@
         Some(Tracked::attach(head, payload.body.clone(), written))
     }
 
-    async fn call(&self, message: Request<Tracked>, fate: &Fate, (request, number): (RequestId, u32)) -> End {
-        let answered = select(self.common.client.request(message), Box::pin(fate.endless_head())).await;
+    async fn call(
+        &self,
+        message: Request<Tracked>,
+        fate: &Fate,
+        (request, number, connection): (RequestId, u32, ConnectionChoice),
+    ) -> End {
+        let answered =
+            select(self.common.clients.of(connection).request(message), Box::pin(fate.endless_head())).await;
         let response = match answered {
             Either::Right(_) => return End::of(Outcome::Error),
             Either::Left((answer, _)) => answer,
@@ -445,7 +459,7 @@
             return (Outcome::ConnectFailed, None);
         };
         let (request, _fate) = Tracked::attach(head, Bytes::new(), Box::new(|| {}));
-        let response = match self.common.client.request(request).await {
+        let response = match self.common.clients.of(ConnectionChoice::Any).request(request).await {
             Ok(response) => response,
             Err(error) if error.is_connect() => return (Outcome::ConnectFailed, None),
             Err(_) => return (Outcome::Reset, None),
@@ -467,7 +481,7 @@
         let (message, _fate) = Tracked::attach(head, payload.body.clone(), Box::new(|| {}));
         let within = Duration::from_micros(self.common.links.idle);
         let call = async {
-            let response = self.common.client.request(message).await.ok()?;
+            let response = self.common.clients.of(ConnectionChoice::Any).request(message).await.ok()?;
             http_body_util::Limited::new(response.into_body(), MOST_REPLY).collect().await.ok()
         };
         if !matches!(tokio::time::timeout(within, call).await, Ok(Some(_))) {
@@ -479,12 +493,12 @@
         }
     }
 
-    async fn lease(&self, method: Method, id: &str) -> Option<StatusCode> {
+    async fn lease(&self, method: Method, id: &str, connection: ConnectionChoice) -> Option<StatusCode> {
         let mut head = self.addressed(Request::new(()), &format!("/kv/leases/{id}"))?;
         *head.method_mut() = method;
         // One that is given up must not let go later of what is held anew.
         let (request, _fate) = Tracked::attach(head, Bytes::new(), Box::new(|| {}));
-        let response = self.common.client.request(request).await.ok()?;
+        let response = self.common.clients.of(connection).request(request).await.ok()?;
         let status = response.status();
         // Reading the body to its end gives the connection back.
         let _ = http_body_util::Limited::new(response.into_body(), MOST_REPLY).collect().await;
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -71,6 +71,28 @@
     });
 }
 
+/// Failure: a library sends a request again by itself when a kept connection has gone stale.
+#[test]
+fn a_reset_on_a_kept_connection_is_not_sent_again_by_the_library() {
+    story(async {
+        let mut server = Peer::start().await;
+        let servers = [member("t-a", &server.address, "tool")];
+        let conductor = Conductor::start(&[], &operator(None, &servers)).await;
+        let mut client = conductor.call(json!("first"), "wagon.position").await;
+        let mut seen = server.next().await;
+        let answer = result(&seen.json()["id"], json!(1)).to_string();
+        seen.answer("200 OK", "Content-Type: application/json\r\n", &answer).await;
+        client.until("0\r\n\r\n").await.expect("a whole answer");
+        let mut second = conductor.call(json!("second"), "path.hold").await;
+        // It comes on the connection that the first one left, which then breaks.
+        let (_, body) = seen.wire.message().await.expect("a second request");
+        assert!(body.contains("path.hold"), "{body}");
+        drop(seen);
+        assert_eq!(code(&mut second).await, -32004);
+        assert_eq!(server.unseen(), 0);
+    });
+}
+
 /// Failure: a booking runs twice because its server died after it had run.
 #[test]
 fn a_booking_never_runs_twice_when_its_server_dies_mid_call() {
