Set the options of a socket to a server before it connects

Cause, as far as it is known: the compiler now loads the descriptor together with its neighbour, and the upper half of the argument of setsockopt is undefined, as the calling convention allows. Ruled out: the budget and the new clients (no such error in the logs), a changed import of the binary (none).

Change: connector::dial makes the socket, sets the option and then connects.

--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,7 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream, lookup_host};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -105,10 +106,9 @@
             let authority = to.authority().ok_or_else(|| io::Error::other("no address"))?;
             let connect = async {
                 let permit = budget.acquire().await?;
-                TcpStream::connect(authority.as_str()).await.map(|stream| (permit, stream))
+                dial(authority.as_str()).await.map(|stream| (permit, stream))
             };
             let (permit, stream) = tokio::time::timeout(within, connect).await??;
-            stream.set_nodelay(true)?;
             Ok(Link {
                 io: TokioIo::new(stream),
                 turn: Turn::Asking,
@@ -120,6 +120,25 @@
     }
 }
 
+/// Connects to the first address that answers.
+async fn dial(authority: &str) -> io::Result<TcpStream> {
+    let mut last = io::Error::other("no address");
+    for address in lookup_host(authority).await? {
+        match dial_address(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+async fn dial_address(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Small writes go out at once.
+    socket.set_nodelay(true)?;
+    socket.connect(address).await
+}
+
 /// What is called when the last byte of a request has been written.
 pub type Told = Box<dyn FnOnce() + Send>;
 
