Send a further read on a new connection too, as an earlier read may be held

The same mistake in related code: once a further read was written, the call that lets go of what an earlier read left was dropped (Input::Written in routing::Core), as its server was believed to have it. On an open connection that has fallen silent it never arrives, and what was held stays so until the read's patience ends. Every attempt after a read now goes out on a connection that has come up for it.

--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -429,8 +429,9 @@
         // The way to the server takes time, too.
         let repeat_by = repeats_until.map(|until| until.saturating_sub(known.settings.step));
         let fetch_by = open.tries.connect_by(now, &known.settings.rules).filter(|_| !reads);
-        // A send that does not arrive stops no clock, and the time of what is held runs on.
-        let connection = if fetch_by.is_some() { ConnectionChoice::New } else { ConnectionChoice::Any };
+        // A send that does not arrive stops no clock, and the time of what an earlier read left runs on.
+        let may_hold = open.tries.all.iter().any(|earlier| earlier.reads);
+        let connection = if may_hold { ConnectionChoice::New } else { ConnectionChoice::Any };
         let connect_by = fetch_by.into_iter().chain(repeat_by).min();
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -276,3 +276,22 @@
     assert!(again.len() >= 2, "{asked:?}");
     assert!(again.iter().all(|(_, connection)| *connection == ConnectionChoice::New), "{asked:?}");
 }
+
+/// Failure: a further read is written to a silent connection, and takes the place of the call that lets go of what the
+/// first one left.
+#[test]
+fn a_read_after_another_goes_out_on_a_new_connection() {
+    let mut stand = Stand::new(Effect::Safe);
+    let (id, _) = stand.request();
+    stand.written(id, 0);
+    let mut out = stand.ended(id, 0, Outcome::Reset);
+    while !out.iter().any(|o| matches!(o, Output::Send { .. })) {
+        let due = stand.core.next_due().expect("it looks again");
+        out = stand.tick(due);
+    }
+    let sent = out.iter().find(|o| matches!(o, Output::Send { .. }));
+    let new = ConnectionChoice::New;
+    assert!(
+        matches!(sent, Some(Output::Send { attempt: 1, server: ServerId(1), connection, .. }) if *connection == new)
+    );
+}
