Tell servers the time left without what a connection may take to come up

What a server saw: a deadline up to 0.25 s longer than what its client had left, as the time was counted from the send and a connection may come up late; the slack is 0.15 s, and a process that is held up may need that itself.

Cause: Core::send told the whole time left, and only fetches had to be connected by some time. Now a connection may take a quarter of the time left, and at most the settings' connect time-out; an attempt tells the time left without that, and is called off as never run if its connection is not up by then. The connect time-out is one of the module's limits (Limits::connect), for the platform and for an operator's document.

tests/core.rs: the_time_told_is_not_longer_than_what_is_left_once_the_connection_is_up failed before (40 ms told, connected after 38 ms of 40 ms).

--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -58,7 +58,7 @@
     Unused,
 }
 
-/// What the settings say of connections; the decisions have no use for it.
+/// What the settings say of connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Links {
     /// A server closes a connection that is idle for this long.
@@ -262,6 +262,7 @@
             over_share_worth: self.over_share_worth,
             limits: Limits {
                 attempts: limits.send_cap,
+                connect: self.links()?.connect,
                 cancel: limits.may_cancel,
                 probes: limits.probes,
                 second_copies: limits.second_copies,
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -20,6 +20,9 @@
     RELEASE_AGAIN.min(rules.held_for() / 2)
 }
 
+/// The part of the time left that a connection may take to come up. An attempt tells its server the time left without it.
+const CONNECT_PART: Micros = 4;
+
 fn cancel(request: RequestId, attempt: u32, reason: CancelReason) -> Output {
     Output::Cancel { request, attempt, reason }
 }
@@ -432,7 +435,8 @@
         // A send that does not arrive stops no clock, and the time of what an earlier read left runs on.
         let may_hold = open.tries.all.iter().any(|earlier| earlier.reads);
         let connection = if may_hold { ConnectionChoice::New } else { ConnectionChoice::Any };
-        let connect_by = fetch_by.into_iter().chain(repeat_by).min();
+        let connect_within = known.settings.limits.connect.min(give_up.saturating_sub(now) / CONNECT_PART);
+        let connect_by = fetch_by.into_iter().chain(repeat_by).fold(now + connect_within, Micros::min);
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
             return Some(Event::Ended(Ended {
@@ -446,13 +450,11 @@
                 report: None,
             }));
         }
-        let (time_left, generation) = (give_up - now, known.generation);
+        let (time_left, generation) = (give_up - now - connect_within, known.generation);
         self.totals.sent += 1;
         out.push(Output::Send { pool, request, attempt, server, time_left, generation, connection });
         self.wake(give_up, Due::GiveUp(request, attempt));
-        if let Some(by) = connect_by {
-            self.wake(by, Due::Connect(request, attempt));
-        }
+        self.wake(connect_by, Due::Connect(request, attempt));
         None
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -295,3 +295,31 @@
         matches!(sent, Some(Output::Send { attempt: 1, server: ServerId(1), connection, .. }) if *connection == new)
     );
 }
+
+/// Failure: a connection that comes up late carries a time that the client no longer has.
+#[test]
+fn the_time_told_is_not_longer_than_what_is_left_once_the_connection_is_up() {
+    for left in [40 * MS, 400 * MS, 4 * S] {
+        let mut stand = Stand::new(Effect::Safe);
+        let admission = Admission { pool: stand.pool, request: request(1, 0), time_left: left };
+        let out = stand.input(Input::Request(admission));
+        let (began, mut told) = (stand.now, None);
+        for output in out {
+            if let Output::Send { time_left, .. } = output {
+                told = Some(time_left);
+            }
+        }
+        let told = told.expect("a reader is sent it");
+        assert!(told >= left / 2, "{told} of {left} us is far too short");
+        // Its connection does not come up: it is called off while what it tells still holds.
+        loop {
+            let due = stand.core.next_due().expect("it is watched");
+            let out = stand.tick(due);
+            if out.iter().any(|o| matches!(o, Output::Cancel { attempt: 0, .. })) {
+                break;
+            }
+        }
+        let up_by = stand.now - began;
+        assert!(told + up_by <= left, "{told} us told, and up by {up_by} us of {left}");
+    }
+}
