--- a/crates/lab/src/engine/server.rs
+++ b/crates/lab/src/engine/server.rs
@@ -10,7 +10,7 @@
 /// A job, by the number that whoever sends it has given.
 pub type JobId = u64;
 
-/// What a server is like. The defaults are guesses of the order that the deployment reports.
+/// What a server is like. The defaults are of the order that the deployment reports.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shape {
     /// It reads prompts; otherwise it writes answers.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -23,7 +23,7 @@
 const AIM: Micros = 1_200_000;
 /// ... with this more for each 1,000 tokens of the prompt (both as the deployment sets them).
 const AIM_PER_1000_TOKENS: Micros = 40_000;
-/// Requests a second beyond which the arrivals of a run fill the memory before it begins (a guess).
+/// Requests a second beyond which the arrivals of a run fill the memory before it begins.
 const MOST_RATE: f64 = 1e6;
 /// Attempts of a request that a job's number has room for.
 const ATTEMPTS: u64 = 256;
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -29,7 +29,7 @@
 }
 
 impl Default for Workload {
-    /// Long shared openings and sessions of several turns: a guess at what the deployment's pages describe.
+    /// Long shared openings and sessions of several turns, as the deployment's pages describe them.
     fn default() -> Self {
         Workload {
             rate: 27.0,
--- a/src/documents/operator.rs
+++ b/src/documents/operator.rs
@@ -375,7 +375,6 @@
         limits.retry_after_most = micros(&mut child, "retry-after", limits.retry_after_most)?;
         links.idle = micros(&mut child, "idle", links.idle)?;
         links.connect = micros(&mut child, "connect", links.connect)?;
-        limits.connect = links.connect;
         child.end(0)?;
     }
     (limits.places_ahead, limits.second_copies) = (false, false);
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -14,7 +14,7 @@
 const READ_PACE: f64 = 20_000.0;
 /// Time of a message there and back.
 const ROUND_TRIP: Micros = 1_000;
-/// From a send to the first token, without a queue (measured in service: 25 to 40 ms).
+/// From a send to the first token without a queue, in microseconds.
 const FIRST_TOKEN: Micros = 30_000;
 /// From the first token to the end of a stream.
 const STREAM: Micros = 1_000_000;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -121,8 +121,6 @@
 pub struct Limits {
     /// Attempts for one request at most.
     pub attempts: u32,
-    /// A connection to a server that is not up by then has failed.
-    pub connect: Micros,
     /// Attempts may be cancelled.
     pub cancel: bool,
     /// Servers may be probed.
@@ -288,7 +286,6 @@
             over_share_worth: 1.0,
             limits: Limits {
                 attempts: 5,
-                connect: 250_000,
                 cancel: true,
                 probes: true,
                 second_copies: false,
--- a/src/membership/refusal.rs
+++ b/src/membership/refusal.rs
@@ -177,8 +177,7 @@
     },
 }
 
-/// A weight beyond this is a slip of the pen, not a server (a guess: a rack of servers behind one address
-/// weighs some tens).
+/// The largest weight of a server. A rack of servers behind one address weighs some tens; more is a mistake.
 pub const MOST_WEIGHT: f64 = 1000.0;
 
 /// A role as operators say it.
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -2,8 +2,7 @@
 
 use crate::interface::Micros;
 
-/// Half of what is known of a server's pace is forgotten in this time, in microseconds, so that recovery is seen
-/// (tuned on the simulator).
+/// Half of what is known of a server's pace is forgotten in this time, in microseconds, so that recovery is seen.
 pub const PACE_HALF_LIFE: f64 = 4e6;
 
 /// Decayed sums of work and time.
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -124,7 +124,7 @@
     serde_json::from_slice::<ReadReply>(body).map_or(0, |reply| reply.cached_tokens)
 }
 
-/// No value of a report is larger than this (a guess): 100 million tokens that wait, or 100,000 requests, are hours.
+/// The largest value of a report, in thousands of tokens or in requests: that many would wait for hours.
 const MOST_REPORTED: f64 = 1e5;
 
 /// Reads a load report such as `TEXT inflight=7, queue=2, util=0.61`; unknown fields, and values that no server can
--- a/src/recovery/pacing.rs
+++ b/src/recovery/pacing.rs
@@ -29,8 +29,8 @@
 
 impl Times {
     /// Those of the platform, in microseconds: `told` is the operators' term, and a watch goes on if the next call
-    /// comes within 200 ms, of which `resume` leaves half. The others are guesses: a full list takes some ten
-    /// milliseconds where nothing else runs.
+    /// comes within 200 ms, of which `resume` leaves half. A full list takes some ten milliseconds where nothing
+    /// else runs.
     pub const PLATFORM: Times = Times {
         told: 6_000_000,
         margin: 500_000,
--- a/src/recovery/release.rs
+++ b/src/recovery/release.rs
@@ -6,11 +6,10 @@
 
 use crate::interface::{Micros, ServerId};
 
-/// Where nobody has taken the call, servers free what is held by themselves after some seconds (a guess: the platform
-/// tells no figure).
+/// Where nobody has taken the call, servers free what is held by themselves after this, in microseconds.
 const FREED: Micros = 5_000_000;
 /// Between two rounds there is a pause, also where the settings leave no time at all: else one turn would ask without
-/// end (a guess; a call takes about as long).
+/// end. In microseconds; a call takes about as long.
 const LEAST_PAUSE: Micros = 1_000;
 
 /// One request's calls.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::message::{Admission, CancelReason, ConnectionChoice, Input, Output, PoolId};
+use super::state::{Due, Open, Pool};
 use super::totals::{End, Handled, Totals};
 use super::tries::{Attempt, Tries};
 use crate::choice::Router;
@@ -12,7 +13,7 @@
 use crate::recovery::Release;
 
 /// A read that did not end cleanly may still have left a state: it is let go once more after this, when the
-/// server has surely seen its connection close (a guess)...
+/// server has surely seen its connection close...
 const RELEASE_AGAIN: Micros = 100_000;
 
 /// ... or sooner, where that would leave too little of the time in which what is held has to be let go of.
@@ -27,52 +28,7 @@
     Output::Cancel { request, attempt, reason }
 }
 
-struct Open {
-    pool: PoolId,
-    class: ClassId,
-    expires: Micros,
-    tries: Tries,
-    owner: Option<u32>,
-    over: bool,
-    /// When what a read may have left is let go of once more.
-    again: Option<Micros>,
-    releasing: Option<Release>,
-    /// Nobody had taken a call to let go yet as a server got the next attempt.
-    broken_off: bool,
-}
-
-impl Open {
-    /// Something may be held that no attempt waits for and nobody is asked to let go of.
-    fn lies_bare(&self) -> bool {
-        self.tries.lies_bare() || self.broken_off && self.tries.at_no_server()
-    }
-
-    /// No attempt is out, and what was held is let go of.
-    fn idle(&self) -> bool {
-        !self.tries.any_out() && self.again.is_none() && self.releasing.is_none()
-    }
-}
-
-enum Due {
-    Router(PoolId, TimerId),
-    GiveUp(RequestId, u32),
-    Connect(RequestId, u32),
-    Again(RequestId),
-    Release(RequestId),
-}
-
-struct Pool {
-    router: Router,
-    settings: Settings,
-    kinds: BTreeMap<ServerId, KindId>,
-    /// When each server last answered anything.
-    heard: BTreeMap<ServerId, Micros>,
-    generation: u64,
-    /// By class.
-    handled: Vec<Handled>,
-}
-
-/// See the module's text.
+/// The open requests of all pools, and the timers that drive them.
 #[derive(Default)]
 pub struct Core {
     pools: Vec<Pool>,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 mod core;
 mod message;
+mod state;
 mod totals;
 mod tries;
 
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -40,7 +40,7 @@
 /// A head that has begun and does not end within this does not end: its server has sent it at once.
 const HEAD_WITHIN: Duration = Duration::from_millis(400);
 /// After an answer a connection rests for this before it takes the next request: a second answer may come some
-/// milliseconds late (the platform's words; the figure is a guess), and would be taken for that to the next one.
+/// milliseconds late, and would be taken for that to the next one.
 pub const REST: Duration = Duration::from_millis(10);
 
 /// The client for peers. It never sends anything again by itself.
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -34,7 +34,7 @@
 /// A stream that has begun and brings no event for so long has stopped, whatever its connection or comments say.
 /// Whoever waits for it is owed the end within 5 s of the last event (the platform's figure).
 const SILENT: Duration = Duration::from_millis(4_000);
-/// The head of an answer comes with the first token: its first event, or its short body, is as good as here (a guess).
+/// The head of an answer comes with the first token; its first event, or its short body, follows within this.
 const FIRST_EVENT: Duration = Duration::from_millis(1_000);
 /// A call that lets go of a state is given up after this: others have long been asked.
 const RELEASE_WITHIN: Duration = Duration::from_millis(500);
