Bound the time of a connection instead of telling servers less time

What it gained was not needed: told times have a slack of 0.15 s.

Now a connection has two thirds of that slack to come up, and the time left is told whole. Rules::time_left_slack holds the slack; tool servers have no such rule and keep all the time of connect.

--- a/src/documents/operator.rs
+++ b/src/documents/operator.rs
@@ -381,8 +381,12 @@
     Ok(links)
 }
 
+/// Tool servers have no rule on the time left, in microseconds: their connections have all the time of `connect`.
+const NO_TIME_LEFT_RULE: Micros = 3_600_000_000;
+
 fn rules(node: &mut Node, rules: &mut crate::interface::Rules) -> Result<(), Refusal> {
     *rules = crate::interface::Rules {
+        time_left_slack: NO_TIME_LEFT_RULE,
         drain_grace: 500_000,
         cold_from: 0.34,
         warm_up: 13_000_000,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -144,6 +144,8 @@
 pub struct Rules {
     /// A final answer may come this long after the client's deadline.
     pub answer_slack: Micros,
+    /// The time left that an attempt tells its server may be too long by this.
+    pub time_left_slack: Micros,
     /// Sends to a draining server must have ceased after this.
     pub drain_grace: Micros,
     /// A server starts with at least this share of its capacity.
@@ -297,6 +299,7 @@
             },
             rules: Rules {
                 answer_slack: 8_000,
+                time_left_slack: 150_000,
                 drain_grace: 1_000_000,
                 cold_from: 0.3,
                 warm_up: 10_000_000,
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -6,6 +6,9 @@
 
 use crate::interface::*;
 
+/// The platform's slack on the time left that an attempt tells, in microseconds; the settings don't hold it.
+const TIME_LEFT_SLACK: Micros = 150_000;
+
 /// What is wrong with a field.
 #[derive(Clone, Debug, PartialEq, Error)]
 #[error("{field}: {problem}")]
@@ -58,7 +61,7 @@
     Unused,
 }
 
-/// What the settings say of connections.
+/// What the settings say of connections; the decisions have no use for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Links {
     /// A server closes a connection that is idle for this long.
@@ -262,7 +265,6 @@
             over_share_worth: self.over_share_worth,
             limits: Limits {
                 attempts: limits.send_cap,
-                connect: self.links()?.connect,
                 cancel: limits.may_cancel,
                 probes: limits.probes,
                 second_copies: limits.second_copies,
@@ -274,6 +276,7 @@
             },
             rules: Rules {
                 answer_slack: time("Rules.AnswerSlackMs", rules.answer_slack_ms)?,
+                time_left_slack: TIME_LEFT_SLACK,
                 drain_grace: time("Rules.DrainGraceMs", rules.drain_grace_ms)?,
                 cold_from: rules.cold_from,
                 warm_up: time("Rules.WarmUpMs", rules.warm_up_ms)?.max(LEAST_SPAN),
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -21,8 +21,11 @@
     RELEASE_AGAIN.min(rules.held_for() / 2)
 }
 
-/// The part of the time left that a connection may take to come up. An attempt tells its server the time left without it.
-const CONNECT_PART: Micros = 4;
+/// The time for a connection to come up: an attempt tells its server the time left at its send. A third of the slack is
+/// for timers that are late.
+fn connect_within(rules: &Rules) -> Micros {
+    rules.time_left_slack / 3 * 2
+}
 
 fn cancel(request: RequestId, attempt: u32, reason: CancelReason) -> Output {
     Output::Cancel { request, attempt, reason }
@@ -391,8 +394,10 @@
         // A send that does not arrive stops no clock, and the time of what an earlier read left runs on.
         let may_hold = open.tries.all.iter().any(|earlier| earlier.reads);
         let connection = if may_hold { ConnectionChoice::New } else { ConnectionChoice::Any };
-        let connect_within = known.settings.limits.connect.min(give_up.saturating_sub(now) / CONNECT_PART);
-        let connect_by = fetch_by.into_iter().chain(repeat_by).fold(now + connect_within, Micros::min);
+        let connect_by = fetch_by
+            .into_iter()
+            .chain(repeat_by)
+            .fold(now + connect_within(&known.settings.rules), Micros::min);
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
             return Some(Event::Ended(Ended {
@@ -406,7 +411,7 @@
                 report: None,
             }));
         }
-        let (time_left, generation) = (give_up - now - connect_within, known.generation);
+        let (time_left, generation) = (give_up - now, known.generation);
         self.totals.sent += 1;
         out.push(Output::Send { pool, request, attempt, server, time_left, generation, connection });
         self.wake(give_up, Due::GiveUp(request, attempt));
