Part the table of kept prefixes and the ranking from the decision module

Change: src/choice/kept_prefixes.rs (what a reader is believed to keep, a type with methods in place of a bare map and free functions) and src/choice/ranking.rs. Behaviour stays. The deploy file's policy names all files of the module; the shape test checks that it names exactly those (it compared with one name before), that each part says what it is for and stays under 500 lines, and that none uses another layer.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,11 +4,16 @@
 //! The rule: a prompt goes to the ready reader with the lowest weight x missing tokens + pending load; after
 //! the read, a writer with room in that reader's cell fetches the state and answers.
 
+mod kept_prefixes;
+mod ranking;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use self::kept_prefixes::{KeptPrefixes, Key, keys};
+use self::ranking::ranked;
 use crate::interface::*;
 use crate::pace::{PACE_HALF_LIFE, Pace};
 use crate::roster::{Look, Roster, even_lot};
@@ -16,8 +21,6 @@
 
 /// Weight of a missing token against a token of load: each move also pushes others' kept text out.
 const OVERLAP_WEIGHT: f64 = 4.0;
-/// A table entry that is not used for this long is dropped: the reader may have let its tokens go.
-const KEPT_FOR: Micros = 30_000_000;
 /// Readers at which peers are presumed to keep a prefix: one alone would be jammed by a much used one.
 const HOMES: f64 = 3.0;
 /// Dispatchers are many if there are more than this many to a reader.
@@ -99,26 +102,13 @@
 /// by lot: the best of many is little better than the best of some (measured: docs/design/watched-files.md).
 const LOOK_AT: Look = Look { all: 128, some: 24 };
 
-/// What a table entry stands for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Key {
-    Session(SessionKey),
-    Prefix(PrefixKey),
-}
-
-/// Tokens believed to be kept at a reader, and when they were last used.
-struct Kept {
-    tokens: u64,
-    used: Micros,
-}
-
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
     role: Role,
     memory: f64,
     weight: f64, // its capacity against the mean of its role; 0 takes nothing new
-    kept: BTreeMap<Key, Kept>,
+    kept: KeptPrefixes,
     unread: f64,               // own prompt tokens sent and not yet read
     others: f64,               // tokens beyond them that wait there by the last report
     since: Vec<(Micros, f64)>, // own streams that the last report can't hold yet: when, and the tokens
@@ -478,7 +468,8 @@
             let (load, pace) = (self.load(now, server, 0.0), self.pace(now, server));
             let cost = (OVERLAP_WEIGHT * missing as f64 + load) / pace + price;
             let unwilling = self.unwilling(now, server, open);
-            let kept = promised(now, server, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
+            let kept =
+                server.kept.tokens_of(now, &open.request) > 0 || self.homely(&open.request, server) >= 1.0;
             let cold = self.warmth(now, server) < 1.0; // and this request is of its share
             let class = u8::from(thin && !kept && !cold);
             if let Some(looked) = &mut self.looked {
@@ -513,7 +504,7 @@
             None => 0.0,
         };
         let shared = request.prefix_tokens as f64 * self.homely(request, server);
-        promised(now, server, request).max(own.max(shared) as u64).min(request.prompt_tokens)
+        server.kept.tokens_of(now, request).max(own.max(shared) as u64).min(request.prompt_tokens)
     }
 
     /// The chance that the reader is a home of the request's prefix.
@@ -529,7 +520,7 @@
     /// Other dispatchers may have met the session; this one has not.
     fn strange(&self, request: &Request) -> bool {
         let Some(key) = request.session.map(Key::Session).filter(|_| self.thin()) else { return self.thin() };
-        let keeps = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.kept.contains_key(&key));
+        let keeps = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.kept.has(&key));
         !self.roster.keepers(&key).iter().any(keeps)
     }
 
@@ -665,7 +656,7 @@
         let (Some(open), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let request = open.request;
         let reads = open.state.is_none();
-        let missing = (request.prompt_tokens - promised(now, server, &request)) as f64;
+        let missing = (request.prompt_tokens - server.kept.tokens_of(now, &request)) as f64;
         let ahead = self.load(now, server, 0.0);
         let expected = if reads { (ahead + missing) / self.pace(now, server) } else { self.writers.wait };
         let expected = if server.role == Role::Mixed { expected + self.writers.wait } else { expected };
@@ -678,7 +669,7 @@
         (server.out, self.out) = (server.out + 1, self.out + 1);
         if reads {
             server.unread += missing;
-            record(now, server, &request);
+            server.kept.record(now, &request);
             keys(&request).for_each(|(key, _)| self.roster.keep(key, to));
         }
         if server.role != Role::Reader {
@@ -782,7 +773,7 @@
             server.unread = (server.unread - a.tokens).max(0.0);
             if a.reads {
                 server.pace.add(now, a.tokens + a.ahead + READ_OVERHEAD, took);
-                record(now, server, &open.request);
+                server.kept.record(now, &open.request);
             } else if a.crossing.is_none() {
                 server.begins.add(now, 1.0, took);
             }
@@ -950,10 +941,10 @@
     fn keep_house(&mut self, now: Micros, out: &mut Actions) {
         self.wake(now + HOUSEKEEPING, Wake::Housekeeping, out);
         for server in self.servers.values_mut() {
-            server.kept.retain(|_, kept| kept.used + KEPT_FOR > now);
+            server.kept.expire(now);
             server.since.retain(|(at, _)| at + REPORT_OLD > now);
         }
-        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.contains_key(key));
+        let keeps = |key: &Key, id| self.servers.get(&id).is_some_and(|s| s.kept.has(key));
         self.roster.forget(keeps);
         self.average(now);
     }
@@ -1005,28 +996,6 @@
     }
 }
 
-/// Chance among equals, the least first: each comes first as often as its weight says.
-fn drawn((lot, weight): (u32, f64)) -> f64 {
-    -(1.0 - (f64::from(lot) + 0.5) / 2f64.powi(32)).ln() / weight
-}
-
-/// How a candidate ranks: whether it failed or did not answer, its class, its measure, and chance.
-type Rank = (bool, u8, f64, (u32, f64), ServerId);
-
-fn ranked(mut found: Vec<Rank>) -> Vec<ServerId> {
-    let by_lot = |a: &Rank, b: &Rank| drawn(a.3).total_cmp(&drawn(b.3));
-    found.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)).then_with(|| by_lot(a, b)));
-    found.into_iter().map(|rank| rank.4).collect()
-}
-
-/// The keys under which a request's prompt is kept, and the tokens that each stands for.
-fn keys(request: &Request) -> impl Iterator<Item = (Key, u64)> {
-    let session = request.session.map(|key| (Key::Session(key), request.prompt_tokens));
-    let prefix =
-        request.prefix.map(|key| (Key::Prefix(key), request.prefix_tokens.min(request.prompt_tokens)));
-    session.into_iter().chain(prefix)
-}
-
 /// A number in [0, 1) that every dispatcher finds for this key at this server, the nearer to 1 the heavier.
 fn lot(key: u64, server: &Server) -> f64 {
     let even = even_lot(key, server.entry.id);
@@ -1038,23 +1007,6 @@
     (homes / ((1.0 - lot(key, server)) * count)).min(1.0)
 }
 
-/// Prompt tokens that the table holds for the request.
-fn promised(now: Micros, server: &Server, request: &Request) -> u64 {
-    let fresh = |(key, most): (Key, u64)| {
-        let kept = server.kept.get(&key).filter(|kept| kept.used + KEPT_FOR > now)?;
-        Some(kept.tokens.min(most))
-    };
-    keys(request).filter_map(fresh).max().unwrap_or(0)
-}
-
-/// Notes that the server keeps the request's prompt, or will.
-fn record(now: Micros, server: &mut Server, request: &Request) {
-    for (key, tokens) in keys(request) {
-        let kept = server.kept.entry(key).or_insert(Kept { tokens, used: now });
-        (kept.tokens, kept.used) = (kept.tokens.max(tokens), now);
-    }
-}
-
 /// What the end of an attempt tells of its server.
 fn learn(now: Micros, server: &mut Server, request: &Request, a: &Attempt, ended: &Ended) {
     match ended.outcome {
@@ -1063,7 +1015,7 @@
             server.pace.add(now, missing + a.ahead + READ_OVERHEAD, ended.took);
             server.full.remove(&(request.tenant, request.class));
             server.served_to = server.served_to.max(a.sent);
-            record(now, server, request);
+            server.kept.record(now, request);
         }
         Outcome::Full => {
             server.full.insert((request.tenant, request.class), now + FULL_REST);
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -24,12 +24,26 @@
 fn the_module_alone_is_the_policy() {
     let deploy = read("deploy/balancer.toml");
     let policy = deploy.lines().find(|line| line.starts_with("policy")).expect("a policy");
-    assert!(policy.starts_with("policy = [\"src/choice.rs\"]"), "{policy}");
+    let files: Vec<&str> = policy.split('"').filter(|part| part.starts_with("src/")).collect();
+    let mut expected = vec!["src/choice.rs".to_string()];
+    expected.extend(sources("choice").into_iter().map(|(path, _)| path));
+    expected.sort();
+    assert_eq!(files, expected, "the policy is the module, all of it and nothing else");
+}
+
+#[test]
+fn the_parts_of_the_module_have_one_job_each() {
+    for (path, text) in sources("choice") {
+        assert!(text.lines().count() <= 500, "{path} is too long for one job");
+        assert!(text.starts_with("//! "), "{path} does not say what it is for");
+        assert!(!text.contains("#[test]"), "tests stand elsewhere: {path}");
+    }
 }
 
 #[test]
 fn the_interface_does_not_speak_the_wire() {
-    let plain = [read("src/choice.rs"), read("src/interface.rs")].concat();
+    let parts: String = sources("choice").into_iter().map(|(_, text)| text).collect();
+    let plain = [read("src/choice.rs"), read("src/interface.rs"), parts].concat();
     for word in ["ATTEMPT", "UNDO_SEND", "DROP_STATE", "TOPOLOGY", "GiveUpAfterMs", "KvTokens"] {
         assert!(!plain.contains(word), "{word}");
     }
@@ -63,6 +77,20 @@
         ("expect", &["documents", "membership", "protocol", "transport", "program", "choice", "wire"]),
         ("documents", &["routing", "transport", "program", "choice", "wire"]),
         ("protocol", &["documents", "membership", "routing", "transport", "program", "choice", "wire"]),
+        (
+            "choice",
+            &[
+                "documents",
+                "expect",
+                "membership",
+                "protocol",
+                "recovery",
+                "routing",
+                "transport",
+                "program",
+                "wire",
+            ],
+        ),
         ("routing", &["documents", "membership", "protocol", "transport", "program", "wire"]),
         ("transport", &["program", "choice", "wire"]),
         ("program", &["choice", "wire"]),
