Judge the fault matrix by what was seen: closes, ports and clocks of the tool

A stand-in that was stopped took up calls whose connections had long been closed, as its runtime had not heard of it; ports of killed stand-ins came to other plays; a full queue of connections held the network back for a second; clients connected after the front had stopped bringing any; a close and the next attempt raced within the tool's own resolution.

--- a/crates/soak/src/cell.rs
+++ b/crates/soak/src/cell.rs
@@ -293,16 +293,23 @@
         all
     }
 
-    /// A fixed choice of at least so many cells: one of each step and fault in turn, with changing targets and classes.
+    /// A fixed choice of at least so many cells: of each fault, at steps spread over all that it has, with changing targets
+    /// and classes.
     pub fn choice(least: usize) -> Vec<Cell> {
         let all = Cell::all();
-        let mut pairs: Vec<(Step, Fault)> = all.iter().map(|cell| (cell.step, cell.fault)).collect();
+        let mut pairs: Vec<(Fault, Step)> = all.iter().map(|cell| (cell.fault, cell.step)).collect();
+        pairs.sort();
         pairs.dedup();
-        let every = (pairs.len() / least.max(1)).max(1);
         let mut chosen = Vec::new();
-        for (n, pair) in pairs.iter().enumerate().filter(|(n, _)| n % every == 0) {
-            let of: Vec<&Cell> = all.iter().filter(|cell| (cell.step, cell.fault) == *pair).collect();
-            chosen.extend(of.get(n * 7 % of.len()).copied());
+        for &fault in Fault::ALL {
+            let steps: Vec<Step> = pairs.iter().filter(|pair| pair.0 == fault).map(|pair| pair.1).collect();
+            let count = (steps.len() * least).div_ceil(pairs.len().max(1)).min(steps.len());
+            for n in 0..count {
+                let step = steps[(n * steps.len() / count + fault as usize) % steps.len()];
+                let of: Vec<&Cell> =
+                    all.iter().filter(|cell| (cell.fault, cell.step) == (fault, step)).collect();
+                chosen.push(*of[(chosen.len() * 7 + n) % of.len()]);
+            }
         }
         chosen
     }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,5 +1,7 @@
 //! Clients: each sends one request after the other on a connection that it keeps, and notes what comes back.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -7,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::http::{Reader, header, status};
-use crate::record::{Micros, Record, Step};
+use crate::record::{Micros, Record, Step, now};
 
 /// How much longer than its own time a client waits before it takes a request for lost.
 const BEYOND: Duration = Duration::from_secs(2);
@@ -48,24 +50,44 @@
     NotSent,
 }
 
+/// Where clients connect: the program's listener behind the platform's front.
+#[derive(Clone)]
+pub struct Front {
+    /// The address.
+    pub address: String,
+    /// The front brings no new connections any more.
+    pub closed: Arc<AtomicBool>,
+}
+
 /// One client.
 pub struct Client {
-    front: String,
+    front: Front,
     record: Record,
     wire: Option<Reader<TcpStream>>,
+    /// When that connection came up.
+    connected: Micros,
 }
 
 impl Client {
     /// A client of this front, with no connection yet.
-    pub fn new(front: &str, record: &Record) -> Self {
-        Client { front: front.to_string(), record: record.clone(), wire: None }
+    pub fn new(front: &Front, record: &Record) -> Self {
+        Client { front: front.clone(), record: record.clone(), wire: None, connected: 0 }
+    }
+
+    fn note_sent(&self, request: &Request) {
+        let (class, wait) = (request.class.to_string(), request.wait.as_micros() as Micros);
+        self.record.note("client", &request.id, Step::Sent { class, wait, connected: self.connected });
     }
 
     async fn connect(&mut self) -> std::io::Result<()> {
         if self.wire.is_none() {
-            let stream = TcpStream::connect(&self.front).await?;
+            if self.front.closed.load(Ordering::Relaxed) {
+                return Err(std::io::ErrorKind::ConnectionRefused.into());
+            }
+            let stream = TcpStream::connect(&self.front.address).await?;
             stream.set_nodelay(true)?;
             self.wire = Some(Reader::new(stream));
+            self.connected = now();
         }
         Ok(())
     }
@@ -88,11 +110,10 @@
             return Went::NotSent;
         }
         let Some(mut wire) = self.wire.take() else { return Went::NotSent };
-        let wait = request.wait.as_micros() as Micros;
         if wire.stream.write_all(request.text().as_bytes()).await.is_err() {
             return Went::Unanswered;
         }
-        self.record.note("client", &request.id, Step::Sent { class: request.class.to_string(), wait });
+        self.note_sent(request);
         let until = Instant::now() + request.wait + BEYOND;
         let Ok(Ok(Some((head, _)))) = timeout_at(until, wire.head()).await else { return Went::Unanswered };
         self.record.note("client", &request.id, Step::Answered { status: status(&head).unwrap_or(0) });
@@ -113,11 +134,10 @@
             return;
         }
         let Some(mut wire) = self.wire.take() else { return };
-        let wait = request.wait.as_micros() as Micros;
         if wire.stream.write_all(request.text().as_bytes()).await.is_err() {
             return;
         }
-        self.record.note("client", &request.id, Step::Sent { class: request.class.to_string(), wait });
+        self.note_sent(request);
         leave.await;
         drop(wire);
         self.record.note("client", &request.id, Step::Left);
--- a/crates/soak/src/gate.rs
+++ b/crates/soak/src/gate.rs
@@ -1,6 +1,7 @@
 //! The network before one server: it passes calls and answers on, tells at which step each one is, and does to it what
 //! the play wants.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,16 +81,17 @@
 }
 
 impl Gate {
-    /// Opens it before a server at this address.
+    /// Opens it at an address of its own before a server.
     pub fn start(
         server: &str,
         reads: bool,
+        own: Ipv4Addr,
         target: &str,
         record: &Record,
         play: Arc<dyn Play>,
     ) -> std::io::Result<Gate> {
         let socket = TcpSocket::new_v4()?;
-        socket.bind("127.0.0.1:0".parse().map_err(std::io::Error::other)?)?;
+        socket.bind((own, 0).into())?;
         let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?.to_string();
         let (network, networks) = watch::channel(Network::Passes);
@@ -207,9 +209,8 @@
         let mut caller = Reader::new(stream);
         let target = self.target.borrow().clone();
         // A machine whose process is gone refuses connections.
-        let Ok(server) = TcpStream::connect(target).await else { return reset(caller.stream) };
+        let Ok(mut server) = TcpStream::connect(target).await else { return reset(caller.stream) };
         let _ = server.set_nodelay(true);
-        let mut server = server;
         while let Ok(Some((head, began))) = caller.head().await {
             match self.one_call(&mut caller, &mut server, head, began).await {
                 Ok(Went::On) => {}
@@ -265,6 +266,9 @@
             }
             body.extend(caller.take_ahead());
         }
+        let wait =
+            header(&head, "x-time-left-ms").and_then(|n| n.parse::<Micros>().ok()).map(|ms| ms * 1_000);
+        self.note(&id, Seen::Arrived { call: kind, wait });
         let bytes = [head.as_bytes(), &body].concat();
         let half = head.len() / 2;
         server.write_all(&bytes[..half]).await?;
@@ -280,9 +284,6 @@
         }
         let mut taken = self.taken.subscribe();
         server.write_all(&bytes[bytes.len() - 1..]).await?;
-        let wait =
-            header(&head, "x-time-left-ms").and_then(|n| n.parse::<Micros>().ok()).map(|ms| ms * 1_000);
-        self.note(&id, Seen::Arrived { call: kind, wait });
         self.answer(kind, &id, caller, server, &mut taken).await
     }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,10 +1,11 @@
 //! The command line of the fault matrix.
 
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use birchspur_soak::cell::{Cell, CellError, Named, parse};
-use birchspur_soak::matrix::{JOBS, Row, Verdict, run};
+use birchspur_soak::matrix::{JOBS, Row, Verdict, run, table};
 use birchspur_soak::stand_in;
 use birchspur_soak::world::Programs;
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -50,6 +51,8 @@
     StandIn {
         role: Role,
         #[arg(long)]
+        address: Ipv4Addr,
+        #[arg(long)]
         states: PathBuf,
     },
 }
@@ -65,6 +68,9 @@
     /// Tells each row as JSON
     #[arg(long)]
     json: bool,
+    /// Tells the verdicts as a table in Markdown
+    #[arg(long, conflicts_with = "json")]
+    markdown: bool,
     /// Keeps the records of red cells in this folder
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
@@ -83,11 +89,11 @@
     let filter = filter.unwrap_or_else(|_| "warn".into());
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
     let result = match Arguments::parse().command {
-        Command::StandIn { role, states } => {
+        Command::StandIn { role, address, states } => {
             let served = match role {
-                Role::Reader => stand_in::server::run(true, states).await,
-                Role::Writer => stand_in::server::run(false, states).await,
-                Role::Discovery => stand_in::discovery::run().await,
+                Role::Reader => stand_in::server::run(true, address, states).await,
+                Role::Writer => stand_in::server::run(false, address, states).await,
+                Role::Discovery => stand_in::discovery::run(address).await,
             };
             return if served.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(NOT_RUN) };
         }
@@ -125,7 +131,10 @@
     let tool = std::env::current_exe().unwrap_or_default();
     let programs = Programs { program: how.program.clone(), tool };
     let rows = run(&programs, cells, how.jobs, how.keep.as_deref()).await;
-    for row in &rows {
+    if how.markdown {
+        print!("{}", table(&rows));
+    }
+    for row in rows.iter().filter(|_| !how.markdown) {
         if how.json {
             println!("{}", serde_json::to_string(row).unwrap_or_default());
         } else {
--- a/crates/soak/src/matrix.rs
+++ b/crates/soak/src/matrix.rs
@@ -1,6 +1,6 @@
 //! Plays many cells at once and tells their verdicts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::IsTerminal;
 use std::path::Path;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-use crate::cell::Named;
+use crate::cell::{Fault, Named, Step, parse};
 use crate::oracle::Break;
 use crate::play::{Played, play};
 use crate::world::{NotRun, Programs};
@@ -113,3 +113,37 @@
     rows.sort_by_key(|(n, _)| *n);
     rows.into_iter().map(|(_, row)| row).collect()
 }
+
+/// The verdicts as a table in Markdown, by fault and step: the cells of it that were red or not run, of all; then each cell
+/// that was not green.
+pub fn table(rows: &[Row]) -> String {
+    let mut counts: BTreeMap<(Fault, Step), [usize; 3]> = BTreeMap::new();
+    for row in rows {
+        let Ok((_, cell)) = parse(&row.cell) else { continue };
+        counts.entry((cell.fault, cell.step)).or_default()[row.verdict as usize] += 1;
+    }
+    let steps: BTreeSet<Step> = counts.keys().map(|(_, step)| *step).collect();
+    let faults: BTreeSet<Fault> = counts.keys().map(|(fault, _)| *fault).collect();
+    let mut text = String::from("| fault |");
+    steps.iter().for_each(|step| text += &format!(" {} |", step.name()));
+    text += "\n| --- |";
+    steps.iter().for_each(|_| text += " --- |");
+    for fault in faults {
+        text += &format!("\n| {} |", fault.name());
+        for step in &steps {
+            text += &counts.get(&(fault, *step)).map_or(" |".to_string(), |[green, red, not_run]| {
+                let all = green + red + not_run;
+                match (red, not_run) {
+                    (0, 0) => format!(" {all} |"),
+                    (red, 0) => format!(" **{red} red** of {all} |"),
+                    (red, not_run) => format!(" **{red} red**, {not_run} not run of {all} |"),
+                }
+            });
+        }
+    }
+    text += "\n";
+    for row in rows.iter().filter(|row| row.verdict != Verdict::Green) {
+        text += &format!("\n- `{}`: {}", row.cell, row.seen);
+    }
+    text + "\n"
+}
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -305,7 +305,7 @@
         return Err(NotRun::NotReached);
     }
     let lines = world.record.lines();
-    let mut breaks = judge(&lines, end, &Bounds::default());
+    let mut breaks = judge(&lines, end, &bounds(cell.fault, &lines));
     breaks.retain(|found| rule.is_none_or(|rule| found.rule == rule));
     let count = |wanted: fn(&Seen) -> bool| lines.iter().filter(|line| wanted(&line.step)).count();
     let sent = count(|step| matches!(step, Seen::Sent { .. }));
@@ -317,6 +317,17 @@
     Ok(Played { breaks, sent, served, lines, log })
 }
 
+/// The rules' bounds. Deadlines and windows allow for the time for which the program itself was held up.
+fn bounds(fault: Fault, lines: &[Line]) -> Bounds {
+    let mut bounds = Bounds::default();
+    let at = |step: Seen| lines.iter().find(|line| line.step == step).map(|line| line.at);
+    if let (Fault::StopProgram, Some(began), Some(ended)) = (fault, at(Seen::Fault), at(Seen::Healed)) {
+        bounds.told += ended - began;
+        bounds.window += ended - began;
+    }
+    bounds
+}
+
 /// Sends requests until the fault has come and gone.
 async fn traffic(faults: &Arc<Faults>, crowd: &mut Crowd) {
     let mut ticks = interval(EVERY);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -44,6 +44,8 @@
         class: String,
         /// How long it waits, in microseconds.
         wait: Micros,
+        /// When its connection came up.
+        connected: Micros,
     },
     /// A client has closed its connection before its answer came.
     Left,
