Release read states unless a server is heard to take them

Cause: an earlier rung of evidence was taken for a later one. routing::Tries stopped a state's clock at Input::Written, and the core's Input::Written dropped the calls that let go; what is written to a process that hangs is taken by nobody, and a handshake is its system's.

Change: recovery::Held keeps the clocks. They run from the end of the attempt that may have left a state until a server is heard to use it or answers the release with 2xx. After three quarters of the settings' time a state is released whatever is written, and the router is told. An attempt that ends unheard does not begin the clock anew; one that may have held on to a state has it released once more. A further read goes out once that release is taken, as a release amid a read takes its state too. routing::Evidence names the rungs. Heads of refusals do not wait a second for their bodies. The log names servers in doubt and warns of states held too long; unheard_fetches is counted.

Why this works: no step of the clock depends on anything but a server's own bytes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -258,6 +258,7 @@
             Event::Started { request, attempt, server, .. } => self.on_started(now, request, attempt, server),
             Event::Ended(ended) => self.on_ended(now, ended, out),
             Event::Gone(id) => self.close(id, None, out),
+            Event::StateReleased(id) => self.on_state_released(now, id, out),
             Event::Timer(_) => self.on_timer(now, out),
             Event::Probed { server, outcome, report, .. } => self.on_probed(now, server, outcome, report),
             Event::Place { .. } | Event::Peer { .. } => {}
@@ -333,6 +334,13 @@
         self.wake(now + LOOK_AGAIN, Wake::Again(id), out);
     }
 
+    fn on_state_released(&mut self, now: Micros, id: RequestId, out: &mut Actions) {
+        if let Some(open) = self.requests.get_mut(&id) {
+            open.state = None;
+            self.advance(now, id, out);
+        }
+    }
+
     /// No server was found within the aim: the client hears it now, not at its deadline.
     fn too_late(&self, now: Micros, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|open| now > open.came + self.class(&open.request).aim)
@@ -731,7 +739,7 @@
     fn doubt(&mut self, now: Micros, to: ServerId, out: &mut Actions) {
         let Some(server) = self.servers.get_mut(&to) else { return };
         if !std::mem::replace(&mut server.doubt, true) {
-            out.push(Action::Log(format!("server {} in doubt", to.0)));
+            out.push(Action::Ejected(to));
         }
         server.trial_at = now + TRIAL_AFTER;
     }
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -325,7 +325,7 @@
                 }
             }
             Output::Hold(..) | Output::CloseIdle(..) => {}
-            Output::Log(_) | Output::Forget(_) => {}
+            Output::Log(_) | Output::Ejected(..) | Output::HeldTooLong { .. } | Output::Forget(_) => {}
             Output::Explain(choice) => {
                 if let Some(story) = self.story(choice.request) {
                     story.choices.push((at, *choice));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -577,6 +577,9 @@
         /// Whether it is held.
         held: bool,
     },
+    /// What was read for a request is being released, as no server was heard to take it in time; further attempts have
+    /// to read anew. An attempt that is out may be answered yet.
+    StateReleased(RequestId),
     /// The client has left, or its answer was overdue.
     Gone(RequestId),
     /// A timer is due.
@@ -664,6 +667,8 @@
     },
     /// A line for the operators.
     Log(String),
+    /// This server gave no sign of life and is avoided for a while; for the operators.
+    Ejected(ServerId),
     /// What a choice looked at; told only to those who observe.
     Explain(Box<Choice>),
 }
--- a/src/recovery/release.rs
+++ b/src/recovery/release.rs
@@ -26,6 +26,7 @@
     pause: Micros,
     due: Option<Micros>,
     until: Micros,
+    taken: bool,
     done: bool,
 }
 
@@ -34,7 +35,18 @@
     pub fn new(now: Micros, order: Vec<ServerId>, within: Micros) -> Self {
         let (due, done) = ((!order.is_empty()).then_some(now), order.is_empty());
         let pause = within.max(LEAST_PAUSE);
-        Release { order, asked: 0, out: 0, within, repeats: false, pause, due, until: now + FREED, done }
+        Release {
+            order,
+            asked: 0,
+            out: 0,
+            within,
+            repeats: false,
+            pause,
+            due,
+            until: now + FREED,
+            taken: false,
+            done,
+        }
     }
 
     /// Somebody has taken the call, or nobody will.
@@ -42,6 +54,11 @@
         self.done
     }
 
+    /// Somebody has taken the call.
+    pub fn taken(&self) -> bool {
+        self.taken
+    }
+
     /// Servers are asked again: each connection that was used before may have fallen silent.
     pub fn repeats(&self) -> bool {
         self.repeats
@@ -62,6 +79,7 @@
     /// A call has ended; where none is out the next ones need not wait.
     pub fn ended(&mut self, now: Micros, took: bool, ask: &mut Vec<ServerId>) {
         self.out = self.out.saturating_sub(1);
+        self.taken |= took;
         self.done |= took;
         if !self.done && self.out == 0 && self.asked < self.order.len() {
             self.wave(now, ask);
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,29 +1,20 @@
 //! Carries the router's actions from one event to the next. It decides nothing: who is sent what, when to
 //! give up and what to refuse comes out of [`crate::choice`].
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use super::evidence::Evidence;
 use super::message::{Admission, CancelReason, ConnectionChoice, Input, Output, PoolId};
-use super::state::{Due, Open, Pool};
+use super::state::{Deferred, Due, Open, Pool};
 use super::totals::{End, Handled, Totals};
 use super::tries::{Attempt, Tries};
 use crate::choice::Router;
 use crate::interface::*;
-use crate::recovery::Release;
-
-/// A read that did not end cleanly may still have left a state: it is let go once more after this, when the
-/// server has surely seen its connection close...
-const RELEASE_AGAIN: Micros = 100_000;
-
-/// ... or sooner, where that would leave too little of the time in which what is held has to be let go of.
-fn release_again(rules: &Rules) -> Micros {
-    RELEASE_AGAIN.min(rules.held_for() / 2)
-}
+use crate::recovery::Held;
 
 /// The time for a connection to come up: an attempt tells its server the time left at its send. A third of the slack is
 /// for timers that are late.
-fn connect_within(rules: &Rules) -> Micros {
+pub(super) fn connect_within(rules: &Rules) -> Micros {
     rules.time_left_slack / 3 * 2
 }
 
@@ -34,11 +25,11 @@
 /// The open requests of all pools, and the timers that drive them.
 #[derive(Default)]
 pub struct Core {
-    pools: Vec<Pool>,
-    open: HashMap<RequestId, Open>,
+    pub(super) pools: Vec<Pool>,
+    pub(super) open: HashMap<RequestId, Open>,
     due: BTreeMap<(Micros, u64), Due>,
     timers: u64,
-    totals: Totals,
+    pub(super) totals: Totals,
 }
 
 impl Core {
@@ -95,30 +86,19 @@
                     let Some(a) = open.tries.out(attempt) else { continue };
                     if !started && !a.cancelled {
                         (a.timed_out, a.cancelled) = (true, true);
-                        out.push(cancel(id, attempt, CancelReason::TimeLimit));
+                        self.call_off(now, id, attempt, CancelReason::TimeLimit, out);
                     }
                 }
                 Due::Connect(id, attempt) => {
                     let attempt_out = self.open.get_mut(&id).and_then(|open| open.tries.out(attempt));
-                    let Some(a) = attempt_out.filter(|a| a.unsent() && !a.cancelled) else { continue };
+                    let Some(a) = attempt_out.filter(|a| a.unwritten() && !a.cancelled) else { continue };
                     (a.cut, a.cancelled) = (true, true);
                     self.totals.unreachable += 1;
                     out.push(cancel(id, attempt, CancelReason::NotWrittenInTime));
                 }
-                Due::Again(id) => {
-                    let Some(open) = self.open.get_mut(&id) else { continue };
-                    // A read that ended since then has moved the time on.
-                    if open.again.is_none_or(|at| at > now) {
-                        continue;
-                    }
-                    open.again = None;
-                    // A state that was read since then is waited for, or about to be.
-                    if open.over || open.lies_bare() {
-                        self.start_release(now, id, out);
-                    }
-                    self.forget(id, out);
-                }
-                Due::Release(id) => self.ask_to_release(id, |release, ask| release.tick(now, ask), out),
+                Due::Held(id) => self.on_held_due(now, id, out),
+                Due::Deferred(id, attempt) => self.send_deferred(now, id, Some(attempt), out),
+                Due::Release(id) => self.ask_to_release(now, id, |release, ask| release.tick(now, ask), out),
             }
         }
     }
@@ -139,15 +119,10 @@
             }
             Input::Started(id, attempt) => self.on_started(now, id, attempt, out),
             Input::Written(id, attempt) => {
-                let Some(open) = self.open.get_mut(&id) else { return };
-                // A server has it: what it leaves must not be taken from it by a call for what was held before.
-                let release = open.releasing.take();
-                open.broken_off |= release.is_some() && !open.over;
-                open.releasing = release.filter(|_| open.over);
-                let attempt = open.tries.all.get_mut(attempt as usize);
-                if attempt.is_some_and(|a| !std::mem::replace(&mut a.written, true)) {
-                    self.totals.written += 1;
-                }
+                let open = self.open.get_mut(&id);
+                let attempt = open.and_then(|open| open.tries.all.get_mut(attempt as usize));
+                let written = attempt.is_some_and(|a| a.learn(Evidence::Written));
+                self.totals.written += u64::from(written);
             }
             Input::Ended { request, attempt, outcome, kept_tokens, report } => {
                 self.on_ended(now, request, attempt, (outcome, kept_tokens, report), out);
@@ -159,8 +134,7 @@
                 self.drive(now, pool, Event::Probed { server, outcome, took, report }, out);
             }
             Input::Released(id, took) => {
-                self.count_release(now, id, took);
-                self.ask_to_release(id, |release, ask| release.ended(now, took, ask), out);
+                self.ask_to_release(now, id, |release, ask| release.ended(now, took, ask), out);
             }
             Input::Place(request, server, held) => {
                 if let Some(pool) = self.open.get(&request).map(|open| open.pool) {
@@ -181,9 +155,8 @@
         let Admission { pool, mut request, time_left } = admission;
         request.expires = now.saturating_add(time_left);
         let (id, class, expires) = (request.id, request.class, request.expires);
-        let (tries, owner, again, releasing) = (Tries::default(), None, None, None);
-        let (over, broken_off) = (false, false);
-        let open = Open { pool, class, expires, tries, owner, over, again, releasing, broken_off };
+        let (tries, held, owner, over) = (Tries::default(), Held::default(), None, false);
+        let open = Open { pool, class, expires, tries, owner, over, held, deferred: None };
         self.open.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), out);
@@ -194,6 +167,7 @@
         let (pool, owned) = (open.pool, open.over || open.owner.is_some());
         let Some(a) = open.tries.out(attempt) else { return };
         let server = a.server;
+        a.learn(Evidence::Heard);
         if owned || a.cancelled {
             // The client has its answer already: a second one must not reach it.
             if !std::mem::replace(&mut a.cancelled, true) {
@@ -203,7 +177,7 @@
         }
         let took = now.saturating_sub(a.sent);
         open.owner = Some(attempt);
-        (open.releasing, open.broken_off) = (None, false);
+        open.held.used();
         out.push(Output::Relay(id, attempt));
         self.hear(now, pool, server);
         self.drive(now, pool, Event::Started { request: id, attempt, server, took }, out);
@@ -235,13 +209,14 @@
         open.over |= owned;
         let settled = open.over;
         // Only what was sent whole ends so, and that it was written need not have been told yet.
-        let whole = matches!(outcome, Outcome::Served | Outcome::Read | Outcome::Reset);
-        if whole && !std::mem::replace(&mut a.written, true) {
-            self.totals.written += 1;
-        }
-        open.tries.ended(now, outcome);
-        // The state that it has left goes by the same name as the one before, and the router answers for it.
-        open.broken_off &= outcome != Outcome::Read;
+        let known = match outcome {
+            Outcome::Reset => Evidence::Written,
+            outcome if outcome.is_told() => Evidence::Answered,
+            _ => a.evidence,
+        };
+        let written = a.learn(known);
+        self.totals.written += u64::from(written);
+        self.note_held(now, id, attempt, outcome);
         if outcome.is_told() {
             self.hear(now, pool, server);
         }
@@ -252,18 +227,10 @@
         }
         let ended = Ended { request: id, attempt, server, outcome, kept_tokens, settled, took, report };
         self.drive(now, pool, Event::Ended(ended), out);
-        // The router may find no reader for a while: what the last one may have left must not stay pinned.
-        let after = self.pools.get(usize::from(pool.0)).map_or(0, |pool| release_again(&pool.settings.rules));
-        if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over && open.lies_bare())
-            && !(outcome.never_ran() && open.again.is_some())
-        {
-            open.again = Some(now + after);
-            self.wake(now + after, Due::Again(id));
-        }
     }
 
     /// Forgets a request once its answer is given and its last attempt has ended.
-    fn forget(&mut self, id: RequestId, out: &mut Vec<Output>) {
+    pub(super) fn forget(&mut self, id: RequestId, out: &mut Vec<Output>) {
         if self.open.get(&id).is_some_and(|open| open.over && open.idle()) {
             self.open.remove(&id);
             out.push(Output::Forget(id));
@@ -271,7 +238,7 @@
     }
 
     /// Feeds an event to a pool's router and carries out its actions, and what follows from them.
-    fn drive(&mut self, now: Micros, pool: PoolId, event: Event, out: &mut Vec<Output>) {
+    pub(super) fn drive(&mut self, now: Micros, pool: PoolId, event: Event, out: &mut Vec<Output>) {
         let (mut events, mut actions) = (VecDeque::from([event]), Vec::new());
         let mut touched = Vec::new();
         while let Some(event) = events.pop_front() {
@@ -311,6 +278,9 @@
                 let started = open.owner == Some(attempt);
                 let a = open.tries.out(attempt).filter(|_| !started)?;
                 if !std::mem::replace(&mut a.cancelled, true) {
+                    if let Some(ended) = self.drop_deferred(now, request, attempt) {
+                        return Some(ended);
+                    }
                     out.push(cancel(request, attempt, CancelReason::GivenUp));
                 }
             }
@@ -339,7 +309,7 @@
                 self.count(pool, class, End::Broken);
                 out.push(cancel(request, attempt, CancelReason::Moved));
             }
-            Action::Release(request) => self.release(now, request, out),
+            Action::Release(request) => self.start_release(now, request, out),
             Action::HoldPlace { request, server } => out.push(Output::Hold(pool, request, server)),
             Action::SetTimer { at, timer } => self.wake(at, Due::Router(pool, timer)),
             Action::Probe(server) => {
@@ -352,12 +322,13 @@
             // Conductors of this platform share nothing.
             Action::Tell { .. } => {}
             Action::Log(text) => out.push(Output::Log(text)),
+            Action::Ejected(server) => out.push(Output::Ejected(pool, server)),
             Action::Explain(choice) => out.push(Output::Explain(choice)),
         }
         None
     }
 
-    fn wake(&mut self, at: Micros, due: Due) {
+    pub(super) fn wake(&mut self, at: Micros, due: Due) {
         self.timers += 1;
         self.due.insert((at, self.timers), due);
     }
@@ -390,14 +361,14 @@
         let repeats_until = class.and_then(|class| open.tries.repeats_until(class));
         // The way to the server takes time, too.
         let repeat_by = repeats_until.map(|until| until.saturating_sub(known.settings.step));
-        let fetch_by = open.tries.connect_by(now, &known.settings.rules).filter(|_| !reads);
-        // A send that does not arrive stops no clock, and the time of what an earlier read left runs on.
-        let may_hold = open.tries.all.iter().any(|earlier| earlier.reads);
-        let connection = if may_hold { ConnectionChoice::New } else { ConnectionChoice::Any };
+        let fetch_by = open.fetch_by(now, &known.settings.rules).filter(|_| !reads);
+        // A connection that has fallen silent would keep what an earlier read left waiting.
+        let connection = if open.tries.any_reads() { ConnectionChoice::New } else { ConnectionChoice::Any };
         let connect_by = fetch_by
             .into_iter()
             .chain(repeat_by)
             .fold(now + connect_within(&known.settings.rules), Micros::min);
+        let open_needs_release = open.held.needs_release();
         open.tries.all.push(Attempt { ended, ..Attempt::new(server, now, reads) });
         if moot {
             return Some(Event::Ended(Ended {
@@ -413,73 +384,17 @@
         }
         let (time_left, generation) = (give_up - now, known.generation);
         self.totals.sent += 1;
-        out.push(Output::Send { pool, request, attempt, server, time_left, generation, connection });
         self.wake(give_up, Due::GiveUp(request, attempt));
+        if reads && open_needs_release {
+            let written_by = repeat_by.unwrap_or(Micros::MAX).min(give_up);
+            self.defer(now, request, Deferred { attempt, server, give_up, written_by });
+            return None;
+        }
+        out.push(Output::Send { pool, request, attempt, server, time_left, generation, connection });
         self.wake(connect_by, Due::Connect(request, attempt));
         None
     }
 
-    fn release(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        // A read may have ended well just as its connection was closed: its state must not stay pinned.
-        let pool = self.pools.get(usize::from(open.pool.0));
-        let after = pool.map_or(0, |pool| release_again(&pool.settings.rules));
-        if open.over && open.tries.any_unclean() {
-            open.again = Some(now + after);
-            self.wake(now + after, Due::Again(id));
-        }
-        self.start_release(now, id, out);
-    }
-
-    /// Has servers asked to let go of what is held: first those that may hold it, then whoever was heard last, as the
-    /// likeliest to run and to have a connection.
-    fn start_release(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(pool) = self.pools.get(usize::from(open.pool.0)) else { return };
-        let mut order = open.tries.holders();
-        if order.is_empty() {
-            return;
-        }
-        open.broken_off = false;
-        order.retain(|server| pool.kinds.contains_key(server));
-        let mut others: Vec<_> =
-            pool.kinds.keys().filter(|server| !order.contains(server)).copied().collect();
-        others.sort_by_key(|server| Reverse(pool.heard.get(server)));
-        order.extend(others);
-        let rules = pool.settings.rules;
-        open.releasing = Some(Release::new(now, order, rules.release_within - rules.held_for()));
-        self.ask_to_release(id, |release, ask| release.tick(now, ask), out);
-    }
-
-    /// The first server that takes a call to let go ends the time of what was held.
-    fn count_release(&mut self, now: Micros, id: RequestId, took: bool) {
-        let Some(open) = self.open.get(&id).filter(|open| took && open.releasing.is_some()) else { return };
-        let Some(pool) = self.pools.get(usize::from(open.pool.0)) else { return };
-        self.totals.released += 1;
-        let late = open.tries.held_since().is_some_and(|at| now > at + pool.settings.rules.release_within);
-        self.totals.released_late += u64::from(late);
-    }
-
-    fn ask_to_release(
-        &mut self,
-        id: RequestId,
-        step: impl FnOnce(&mut Release, &mut Vec<ServerId>),
-        out: &mut Vec<Output>,
-    ) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let (Some(release), pool, mut ask) = (&mut open.releasing, open.pool, Vec::new()) else { return };
-        step(release, &mut ask);
-        let (done, due) = (release.done(), release.next_due().filter(|_| !ask.is_empty()));
-        let connection = if release.repeats() { ConnectionChoice::New } else { ConnectionChoice::Any };
-        out.extend(ask.into_iter().map(|server| Output::Release { pool, request: id, server, connection }));
-        if done {
-            open.releasing = None;
-            self.forget(id, out);
-        } else if let Some(due) = due {
-            self.wake(due, Due::Release(id));
-        }
-    }
-
     fn hear(&mut self, now: Micros, pool: PoolId, server: ServerId) {
         if let Some(pool) = self.pools.get_mut(usize::from(pool.0)) {
             pool.heard.insert(server, now);
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -26,7 +26,7 @@
     List(PoolId, u64, ListUpdate),
     /// The first event of an attempt's answer is here.
     Started(RequestId, u32),
-    /// The last byte of an attempt has been written to its server.
+    /// The last byte of an attempt has been handed to the system; its server may never take it up.
     Written(RequestId, u32),
     /// An attempt has ended.
     Ended {
@@ -140,6 +140,15 @@
         /// The connection to ask on.
         connection: ConnectionChoice,
     },
+    /// What servers held for a request waited for longer than the settings allow; for the operators.
+    HeldTooLong {
+        /// The request.
+        request: RequestId,
+        /// For how long.
+        waited: Micros,
+        /// Whether a server has taken the call that lets go of it by now.
+        taken: bool,
+    },
     /// Hold a place.
     Hold(PoolId, RequestId, ServerId),
     /// Probe a server.
@@ -148,6 +157,8 @@
     CloseIdle(PoolId, ServerId),
     /// A line for the operators.
     Log(String),
+    /// A server gave no sign of life and is avoided for a while; for the operators.
+    Ejected(PoolId, ServerId),
     /// What a choice looked at; only of pools that are observed.
     Explain(Box<Choice>),
     /// Nothing more will be said of the request.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -7,7 +7,7 @@
 use super::tries::Tries;
 use crate::choice::Router;
 use crate::interface::*;
-use crate::recovery::Release;
+use crate::recovery::Held;
 
 /// A request that has not been forgotten.
 pub(super) struct Open {
@@ -19,22 +19,26 @@
     pub(super) owner: Option<u32>,
     /// The final answer is given, or no longer owed.
     pub(super) over: bool,
-    /// When what a read may have left is let go of once more.
-    pub(super) again: Option<Micros>,
-    pub(super) releasing: Option<Release>,
-    /// Nobody had taken a call to let go yet as a server got the next attempt.
-    pub(super) broken_off: bool,
+    /// What readers may hold for it.
+    pub(super) held: Held,
+    /// A further read that waits until what earlier attempts may have left has been released.
+    pub(super) deferred: Option<Deferred>,
 }
 
-impl Open {
-    /// Something may be held that no attempt waits for and nobody is asked to let go of.
-    pub(super) fn lies_bare(&self) -> bool {
-        self.tries.lies_bare() || self.broken_off && self.tries.at_no_server()
-    }
+/// An attempt that is decided and not yet sent.
+#[derive(Clone, Copy)]
+pub(super) struct Deferred {
+    pub(super) attempt: u32,
+    pub(super) server: ServerId,
+    pub(super) give_up: Micros,
+    /// It has to be written by then, as its client's time or the window for repeats ends.
+    pub(super) written_by: Micros,
+}
 
+impl Open {
     /// No attempt is out, and what was held is let go of.
     pub(super) fn idle(&self) -> bool {
-        !self.tries.any_out() && self.again.is_none() && self.releasing.is_none()
+        !self.tries.any_out() && self.held.is_nothing()
     }
 }
 
@@ -43,7 +47,8 @@
     Router(PoolId, TimerId),
     GiveUp(RequestId, u32),
     Connect(RequestId, u32),
-    Again(RequestId),
+    Held(RequestId),
+    Deferred(RequestId, u32),
     Release(RequestId),
 }
 
--- a/src/routing/totals.rs
+++ b/src/routing/totals.rs
@@ -26,8 +26,10 @@
     pub unreachable: u64,
     /// Requests of which a server has taken the call that lets go of what is held.
     pub released: u64,
-    /// Those of them whose state had then waited for longer than the settings allow.
+    /// Requests whose state waited for longer than the settings allow before a server took that call, or none did.
     pub released_late: u64,
+    /// States that were released as no writer had been heard in time, though a fetch was out or about to be.
+    pub released_unheard: u64,
     /// Requests open now.
     pub open: u64,
     /// Servers that are listed now.
--- a/src/routing/tries.rs
+++ b/src/routing/tries.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request, and what they may have left held at readers.
 
-use crate::interface::{Class, Micros, Outcome, Rules, ServerId};
+use super::evidence::Evidence;
+use crate::interface::{Class, Micros, Outcome, ServerId};
 
 /// One attempt.
 pub(super) struct Attempt {
@@ -12,29 +13,26 @@
     pub cancelled: bool,
     /// Called off because its connection had not come up by the time at which what is held is due.
     pub cut: bool,
-    /// Its last byte is with its server: until then it is not out for the rule on what is held.
-    pub written: bool,
+    /// How far it is known to have got.
+    pub evidence: Evidence,
 }
 
 impl Attempt {
     pub fn new(server: ServerId, sent: Micros, reads: bool) -> Self {
-        let (ended, timed_out, cancelled, cut, written) = (None, false, false, false, false);
-        Attempt { server, sent, reads, ended, timed_out, cancelled, cut, written }
+        let (ended, timed_out, cancelled, cut) = (None, false, false, false);
+        Attempt { server, sent, reads, ended, timed_out, cancelled, cut, evidence: Evidence::Decided }
     }
 
-    /// It is on its way, and no connection has taken it yet.
-    pub fn unsent(&self) -> bool {
-        self.ended.is_none() && !self.written
+    /// It is on its way, and has not been written whole.
+    pub fn unwritten(&self) -> bool {
+        self.ended.is_none() && !self.evidence.may_have_arrived()
     }
 
-    /// A server had it and left all as it was.
-    fn turned_away(&self) -> bool {
-        matches!(self.ended, Some(Outcome::Full | Outcome::NoState))
-    }
-
-    /// It never came to a server, or may still not.
-    fn unheard(&self) -> bool {
-        self.unsent() || matches!(self.ended, Some(Outcome::ConnectFailed | Outcome::NotSent))
+    /// Takes note of what is known now; tells whether it was not known before that it may have arrived.
+    pub fn learn(&mut self, evidence: Evidence) -> bool {
+        let before = self.evidence;
+        self.evidence = before.max(evidence);
+        self.evidence.may_have_arrived() && !before.may_have_arrived()
     }
 }
 
@@ -42,8 +40,6 @@
 #[derive(Default)]
 pub(super) struct Tries {
     pub all: Vec<Attempt>,
-    /// The last end of an attempt that its server had heard of: from then on what is held waits.
-    since: Micros,
 }
 
 impl Tries {
@@ -57,37 +53,9 @@
         self.all.iter().any(|a| a.ended.is_none())
     }
 
-    /// Notes the end of an attempt. One that never came to its server stops no clock.
-    pub fn ended(&mut self, now: Micros, outcome: Outcome) {
-        if !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
-            self.since = now;
-        }
-    }
-
-    /// Since when a state that was read has waited, if one was.
-    pub fn held_since(&self) -> Option<Micros> {
-        self.all.iter().any(|a| a.ended == Some(Outcome::Read)).then_some(self.since)
-    }
-
-    /// No server has an attempt.
-    pub fn at_no_server(&self) -> bool {
-        self.all.iter().all(|a| a.ended.is_some() || a.unsent())
-    }
-
-    /// A read that did not end cleanly may have left a state that nobody knows of. Attempts after it that were turned
-    /// away have changed nothing of that.
-    pub fn lies_bare(&self) -> bool {
-        let last = self.all.iter().rev().find(|a| !a.unheard() && !a.turned_away());
-        let read = last.filter(|a| a.reads && self.at_no_server());
-        read.is_some_and(|a| a.ended.is_some_and(|outcome| !outcome.never_ran()))
-    }
-
-    /// When a writer's connection has to be up, as a state waits for it: after half of the time that is left, so that
-    /// another writer gets its turn whatever the first one does.
-    pub fn connect_by(&self, now: Micros, rules: &Rules) -> Option<Micros> {
-        let read = self.all.iter().rev().any(|a| a.ended == Some(Outcome::Read));
-        let until = (self.since + rules.held_for()).max(now);
-        read.then_some(now + (until - now) / 2)
+    /// A reader may hold something, as it was sent the prompt.
+    pub fn any_reads(&self) -> bool {
+        self.all.iter().any(|a| a.reads)
     }
 
     /// Until when another attempt may come to its server, as one before it may have run. A decision within that time
@@ -106,9 +74,4 @@
         holders.extend(readers().filter(|a| !clean(a)).map(|a| a.server));
         holders
     }
-
-    /// A read may have ended well just as its connection was closed.
-    pub fn any_unclean(&self) -> bool {
-        self.all.iter().any(|a| a.reads && a.ended != Some(Outcome::Read))
-    }
 }
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -122,12 +122,14 @@
             figures
                 .extend(ends.map(|(end, count)| Figure::counter(format!("handled.{class}.{end}"), *count)));
         }
-        let Totals { written, unreachable, released, released_late, open, known, avoided, .. } = self.totals;
+        let Totals { written, unreachable, released, released_late, released_unheard, .. } = self.totals;
+        let Totals { open, known, avoided, .. } = self.totals;
         let counters = [
             ("upstream_tries", written),
             ("unreachable_tries", unreachable),
             ("released_states", released),
             ("late_releases", released_late),
+            ("unheard_fetches", released_unheard),
         ];
         figures.extend(counters.map(|(name, count)| Figure::counter(name, count)));
         let levels = [("in_progress", open), ("known_instances", known), ("skipped_instances", avoided)];
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -38,6 +38,7 @@
 }
 
 struct PeerAt {
+    name: Arc<str>,
     address: Arc<str>,
     /// The way to its actor, once that was needed.
     inbox: Option<mpsc::Sender<ToPeer>>,
@@ -163,8 +164,11 @@
         pool.peers.reserve(generation.members.len());
         for member in &generation.members {
             let id = member.entry.id;
-            let mut peer =
-                before.remove(&id).unwrap_or(PeerAt { address: member.address.clone(), inbox: None });
+            let mut peer = before.remove(&id).unwrap_or_else(|| PeerAt {
+                name: member.name.clone(),
+                address: member.address.clone(),
+                inbox: None,
+            });
             if peer.address != member.address {
                 peer.address = member.address.clone();
                 if let Some(inbox) = &peer.inbox {
@@ -255,6 +259,15 @@
             // Only expectations observe.
             Output::Explain(_) => {}
             Output::Log(text) => tracing::info!(target: "birchspur::module", "{text}"),
+            Output::Ejected(pool, server) => self.log_ejected(pool, server),
+            Output::HeldTooLong { request, waited, taken } => {
+                let id = self.held.get(&request).map(|held| held.payload.id.as_str());
+                tracing::warn!(
+                    target: "birchspur::held",
+                    { request.id = id, waited_us = waited, taken },
+                    "a read state was held for too long; a server that hangs or can't be reached had its fetch or its release"
+                );
+            }
             Output::Forget(request) => {
                 if let Some(held) = self.held.remove(&request) {
                     self.ids.remove(&held.payload.id);
@@ -263,6 +276,16 @@
         }
     }
 
+    fn log_ejected(&self, pool: PoolId, server: ServerId) {
+        let peer = self.pools.get(usize::from(pool.0)).and_then(|pool| pool.peers.get(&server));
+        let (name, address) = peer.map_or(("", ""), |peer| (&*peer.name, &*peer.address));
+        tracing::info!(
+            target: "birchspur::module",
+            { server.name = name, server.address = address },
+            "server in doubt: it gave no sign of life, and is tried again in a while"
+        );
+    }
+
     fn answer(&mut self, request: RequestId, reply: Reply) {
         if let Some(held) = self.held.get(&request) {
             let id = held.payload.id.as_str();
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -24,7 +24,7 @@
 
 use super::idle::{ConnectionBudget, Idleness};
 use crate::protocol::settings::Links;
-use crate::routing::ConnectionChoice;
+use crate::routing::{ConnectionChoice, Evidence};
 
 /// Part of a server's idle limit after which a connection is no longer used: past the limit a request
 /// written to it would end as a reset. The pool closes what is no longer used once in such a span, so that
@@ -425,19 +425,18 @@
 }
 
 impl Fate {
-    /// Whether the request has had a connection at all.
-    pub fn connected(&self) -> bool {
-        self.link.connection_metadata().is_some()
-    }
-
-    /// Whether the last byte of the request has been written.
-    pub fn written(&self) -> bool {
-        self.written.load(Ordering::Relaxed)
+    /// How far the request is known to have got on its way. What its server has said of it is not known here.
+    pub fn evidence(&self) -> Evidence {
+        match self.link.connection_metadata().is_some() {
+            _ if self.written.load(Ordering::Relaxed) => Evidence::Written,
+            true => Evidence::Connected,
+            false => Evidence::Decided,
+        }
     }
 
     /// Whether the last byte of the request was written before this error: only then may it have run.
     pub fn may_have_run(&self, error: &Error) -> bool {
-        !error.is_connect() && self.written()
+        !error.is_connect() && self.evidence().may_have_arrived()
     }
 
     /// Has nothing more of the request come to its server: its connection writes no more, and is reset as it closes.
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -23,7 +23,7 @@
 use crate::interface::*;
 use crate::protocol::platform::{self, Spoilt, Tail};
 use crate::protocol::settings::{Links, ReportField};
-use crate::routing::{CancelReason, ConnectionChoice, Input, PoolId};
+use crate::routing::{CancelReason, ConnectionChoice, Evidence, Input, PoolId};
 
 /// Messages that may wait for a peer.
 const MAILBOX: usize = 1024;
@@ -36,6 +36,8 @@
 const SILENT: Duration = Duration::from_millis(4_000);
 /// The head of an answer comes with the first token; its first event, or its short body, follows within this.
 const FIRST_EVENT: Duration = Duration::from_millis(1_000);
+/// The body of an answer that is neither a read nor a stream: it follows its head, or its connection is not used again.
+const REFUSAL_BODY: Duration = Duration::from_millis(100);
 /// A call that lets go of a state is given up after this: others have long been asked.
 const RELEASE_WITHIN: Duration = Duration::from_millis(500);
 
@@ -189,7 +191,9 @@
                         },
                         "release"
                     );
-                    one.report(Input::Released(request, status.is_some())).await;
+                    // Whoever answers anything else has not let go of it.
+                    let taken = status.is_some_and(|status| status.is_success());
+                    one.report(Input::Released(request, taken)).await;
                     None
                 });
             }
@@ -262,7 +266,7 @@
             "send"
         );
         let began = Instant::now();
-        let (mut reason, mut written) = (None, false);
+        let (mut reason, mut evidence) = (None, Evidence::Decided);
         let end = match self.message(attempt) {
             // Leaving the call drops its connection, so that the server sees the end.
             Some((message, fate)) => {
@@ -274,9 +278,9 @@
                     fate.give_up();
                     reason = called_off.as_ref().ok().copied();
                 }
-                written = fate.written();
+                evidence = fate.evidence();
                 match ended {
-                    Either::Left(_) if !fate.connected() => End::of(Outcome::ConnectFailed),
+                    Either::Left(_) if evidence < Evidence::Connected => End::of(Outcome::ConnectFailed),
                     Either::Left(_) => End::of(Outcome::Cancelled),
                     Either::Right((end, _)) => end,
                 }
@@ -292,7 +296,7 @@
                 attempt = number,
                 server.address = self.address.as_str(),
                 ?outcome,
-                written,
+                ?evidence,
                 called_off = ?reason,
                 took_us = began.elapsed().as_micros() as u64
             },
@@ -338,7 +342,9 @@
         let (head, body) = response.into_parts();
         let outcome = self.common.dialect.outcome(head.status, &head.headers);
         let body = http_body_util::Limited::new(body, MOST_REPLY).collect();
-        let kept_tokens = match tokio::time::timeout(FIRST_EVENT, body).await {
+        // The head of anything but a read says it all, and what is held for the request waits for the word.
+        let within = if outcome == Outcome::Read { FIRST_EVENT } else { REFUSAL_BODY };
+        let kept_tokens = match tokio::time::timeout(within, body).await {
             Ok(Ok(body)) => platform::kept_tokens(&body.to_bytes()),
             Ok(Err(_)) if outcome == Outcome::Read => return End::of(Outcome::Reset),
             Err(_) if outcome == Outcome::Read => return End::of(Outcome::Error),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -333,6 +333,7 @@
             writeln!(out, "BROADCAST_TO Peer={to} Payload={}", encode(payload))
         }
         Action::Explain(_) => Ok(()), // nobody observes there
+        Action::Ejected(server) => writeln!(out, "PRINT Msg=server {} in doubt", server.0),
         Action::Log(text) => writeln!(out, "PRINT Msg={}", text.replace(['\r', '\n'], " ")),
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -254,6 +254,7 @@
             }
             Action::Explain(_) => {}
             Action::Log(text) => self.log.push(text),
+            Action::Ejected(server) => self.log.push(format!("server {} in doubt", server.0)),
             Action::CloseIdle(_) | Action::Watch(_) | Action::FetchList | Action::Tell { .. } => {}
         }
     }
