--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,5 @@
 import os
+import struct
 import sys
 
 sys.dont_write_bytecode = True
@@ -74,6 +75,9 @@
             if TROUBLE and tool == "path.find" and arguments["path"] not in self.broken:
                 self.broken.add(arguments["path"])
                 self.record.add(f"{self.name} dies amid {tool} for {arguments['path']}: its connection is reset")
+                # With no time to linger a close resets the connection, as the end of a process with unread bytes does.
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
                 return False
         await Fleet.event(writer, json.dumps({"jsonrpc": "2.0", "id": message["id"], "result": {"done": tool}}))
