Relay: deny a booking only if no call nested at any depth may have placed one

Cause: each relayed call had its own flag for side effects, set only by calls raised in its own stream. A booking below a nested look-up marked that look-up and nobody above it. The outer call had its answer before the second run, its stream had begun, and the same look-up with the booking in its own stream was told -32004: so neither a repeat by the program nor the reading of the reset is at fault.

Change: recovery::CallEffects is one tree over a client's call and all nested ones. Admitting a call with side effects marks all above it. When an answer breaks off or is late, "had no effect" is said only if nothing below is marked, and from then on nothing with side effects is admitted below. Found on the way: a nested look-up that outlived its call raised its booking after the client had been told that none was placed; it gets -32003 now. Nested calls and ends without a response are logged (birchspur::relay, debug).

--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use crate::interface::*;
 use crate::protocol::jsonrpc::{self, Events, Message, RpcError};
 use crate::protocol::platform::{self, MAX_BODY_BYTES};
+use crate::recovery::CallEffects;
 use crate::routing::{Admission, PoolId};
 
 /// The deepest nesting of calls, so that servers that call each other in a circle come to an end.
@@ -84,7 +85,8 @@
 
     /// Runs a call to its final answer. Dropping the future cancels the call.
     pub async fn run(&self, call: Call, tool: Tool, to_client: &ClientSender) -> Result<Value, RpcError> {
-        self.clone().relay(call, tool, to_client.clone(), 0).await
+        let nesting = Nesting { depth: 0, effects: CallEffects::of_client_call(tool.has_side_effects) };
+        self.clone().relay(call, tool, to_client.clone(), nesting).await
     }
 
     /// Relays a call at a depth of nesting. This is not an `async fn` because calls make nested calls, and a future
@@ -94,7 +96,7 @@
         call: Call,
         tool: Tool,
         to_client: ClientSender,
-        depth: u32,
+        nesting: Nesting,
     ) -> futures_util::future::BoxFuture<'static, Result<Value, RpcError>> {
         Box::pin(async move {
             let time_left = call.time_left.unwrap_or(tool.deadline).min(tool.deadline);
@@ -116,25 +118,19 @@
                 (Reply::Failed { overdue: true, .. }, _) => Err(RpcError::Deadline),
                 (Reply::Failed { .. } | Reply::IdInUse, _) => Err(RpcError::Failed),
                 (Reply::Stream(body), request_handle) => {
-                    // A call that breaks off after its answer has begun may have had an effect: its own, or that of a
-                    // nested call.
-                    let may_have_effect = Arc::new(AtomicBool::new(tool.has_side_effects));
                     let stream = AnswerStream {
                         relay: self,
                         call,
-                        id,
+                        id: id.clone(),
                         request_handle,
                         to_client,
-                        depth,
+                        nesting: nesting.clone(),
                         expires_at,
-                        may_have_effect: may_have_effect.clone(),
                     };
-                    match tokio::time::timeout_at(expires_at, stream.follow(body)).await {
-                        Ok(Some(result)) => result,
-                        _ if may_have_effect.load(Ordering::Relaxed) => Err(RpcError::MayHaveRun),
-                        Ok(None) => Err(RpcError::Failed),
-                        Err(_) => Err(RpcError::Deadline),
-                    }
+                    let answer = tokio::time::timeout_at(expires_at, stream.follow(body)).await;
+                    answer
+                        .unwrap_or(Err(AnswerFailure::Late))
+                        .unwrap_or_else(|failure| nesting.report(&id, failure))
                 }
             }
         })
@@ -153,6 +149,42 @@
     }
 }
 
+/// Where a call stands among the calls that are nested in each other.
+#[derive(Clone)]
+struct Nesting {
+    /// 0 for a client's call.
+    depth: u32,
+    /// What the call and those below it may have done.
+    effects: CallEffects,
+}
+
+/// Why an answer that had begun has brought no response.
+#[derive(Clone, Copy, Debug)]
+enum AnswerFailure {
+    /// It ended or can't be read.
+    Broken,
+    /// The deadline passed.
+    Late,
+}
+
+impl Nesting {
+    /// Returns what the caller is told of a failed answer. Calls below this one may still run, so the promise that nothing
+    /// took effect is made only if it can be kept.
+    fn report(&self, id: &str, failure: AnswerFailure) -> Result<Value, RpcError> {
+        let had_no_effect = self.effects.rule_out();
+        tracing::debug!(
+            target: "birchspur::relay",
+            { request.id = id, depth = self.depth, ?failure, had_no_effect },
+            "the answer brought no response"
+        );
+        Err(match failure {
+            _ if !had_no_effect => RpcError::MayHaveRun,
+            AnswerFailure::Broken => RpcError::Failed,
+            AnswerFailure::Late => RpcError::Deadline,
+        })
+    }
+}
+
 /// The answer of one call, while it is read.
 struct AnswerStream {
     relay: Relay,
@@ -160,10 +192,8 @@
     id: String,
     request_handle: RequestHandle,
     to_client: ClientSender,
-    depth: u32,
+    nesting: Nesting,
     expires_at: Instant,
-    /// The call, or one nested in it, has side effects.
-    may_have_effect: Arc<AtomicBool>,
 }
 
 /// The nested calls that a server has made in its answer.
@@ -175,18 +205,18 @@
 }
 
 impl AnswerStream {
-    /// Follows the answer up to the call's response; returns `None` if the answer ends or can't be read before that.
-    /// Nested calls run to their own end in any case.
-    async fn follow(self, body: Body) -> Option<Result<Value, RpcError>> {
+    /// Follows the answer up to the call's response. Nested calls run to their own end in any case.
+    async fn follow(self, body: Body) -> Result<Result<Value, RpcError>, AnswerFailure> {
         let mut nested = NestedCalls::default();
         let result = self.read(body, &mut nested).await;
         if !nested.open.is_empty() {
             tokio::spawn(self.finish_nested(nested));
         }
-        result
+        result.ok_or(AnswerFailure::Broken)
     }
 
-    /// Reads the answer up to the call's response, and starts the nested calls in it.
+    /// Reads the answer up to the call's response, and starts the nested calls in it. Returns `None` if the answer ends
+    /// or can't be read before the response.
     async fn read(&self, mut body: Body, nested: &mut NestedCalls) -> Option<Result<Value, RpcError>> {
         let is_event_stream = body
             .content_type
@@ -238,22 +268,37 @@
         if !nested.seen_ids.insert(id.to_string()) {
             return;
         }
-        let tool = match self.relay.tool(method, &params) {
-            Ok(_) if self.depth + 1 >= MAX_CALL_DEPTH => Err(RpcError::Invalid("calls are nested too deep")),
-            tool => tool,
+        let (tool, nesting) = match self.admit_nested(method, &params) {
+            Ok(admitted) => admitted,
+            Err(error) => return self.return_result(id, Err(error)).await,
         };
-        match tool {
-            Ok(tool) => {
-                let time_left =
-                    self.expires_at.saturating_duration_since(Instant::now()).as_micros() as Micros;
-                self.may_have_effect.fetch_or(tool.has_side_effects, Ordering::Relaxed);
-                let call =
-                    Call { id: id.clone(), params, session: self.call.session, time_left: Some(time_left) };
-                let relayed = self.relay.clone().relay(call, tool, self.to_client.clone(), self.depth + 1);
-                nested.open.spawn(async move { (id, relayed.await) });
-            }
-            Err(error) => self.return_result(id, Err(error)).await,
+        let time_left = self.expires_at.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        let call = Call { id: id.clone(), params, session: self.call.session, time_left: Some(time_left) };
+        let relayed = self.relay.clone().relay(call, tool, self.to_client.clone(), nesting);
+        nested.open.spawn(async move { (id, relayed.await) });
+    }
+
+    /// Decides whether a nested call may run, and returns its tool and its place among the nested calls.
+    fn admit_nested(&self, method: &str, params: &Value) -> Result<(Tool, Nesting), RpcError> {
+        let tool = self.relay.tool(method, params)?;
+        let depth = self.nesting.depth + 1;
+        if depth >= MAX_CALL_DEPTH {
+            return Err(RpcError::Invalid("calls are nested too deep"));
         }
+        let effects = self.nesting.effects.nest(tool.has_side_effects);
+        tracing::debug!(
+            target: "birchspur::relay",
+            {
+                request.id = self.id.as_str(),
+                depth,
+                has_side_effects = tool.has_side_effects,
+                admitted = effects.is_ok()
+            },
+            "nested call"
+        );
+        // A call above may be repeated by now, so this one must not run as well.
+        let effects = effects.map_err(|_| RpcError::Failed)?;
+        Ok((tool, Nesting { depth, effects }))
     }
 
     /// Returns a nested call's result to the server under the server's own id, and reports it on the client's stream.
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -141,6 +141,123 @@
     });
 }
 
+/// Hands a nested call's result, which the program posts, to the server that made the call.
+async fn take_posted_result(a: &mut Peer, b: &mut Peer) -> Value {
+    let mut posted = either(a, b).await;
+    let result = posted.json();
+    posted.answer("202 Accepted", "", "").await;
+    posted.go_on();
+    result
+}
+
+/// Begins the answers of look-ups nested in each other, one for each level, from the request of the outermost on.
+/// Returns them from the outermost to the innermost.
+async fn nest_look_ups(a: &mut Peer, b: &mut Peer, outermost: Seen, levels: usize) -> Vec<Seen> {
+    let mut look_ups = vec![outermost];
+    for level in 0..levels {
+        let look_up = &mut look_ups[level];
+        look_up.begin().await;
+        if level + 1 < levels {
+            look_up.event(tool_call(json!(format!("nested-{level}")), "wagon.position")).await;
+            look_ups.push(either(a, b).await);
+        }
+    }
+    look_ups
+}
+
+/// How the answer of an outermost look-up fails.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    Reset,
+    EndWithoutResponse,
+    Unreadable,
+    DeadlinePassed,
+}
+
+const FAILURES: [Failure; 4] =
+    [Failure::Reset, Failure::EndWithoutResponse, Failure::Unreadable, Failure::DeadlinePassed];
+
+/// Has an answer fail. Returns its connection if that stays open.
+async fn fail_answer(mut seen: Seen, failure: Failure) -> Option<Seen> {
+    match failure {
+        Failure::Reset => {
+            seen.wire.reset();
+            return None;
+        }
+        Failure::EndWithoutResponse => seen.end().await,
+        Failure::Unreadable => seen.wire.write("no chunk size\r\n").await,
+        Failure::DeadlinePassed => {}
+    }
+    Some(seen)
+}
+
+/// Calls a look-up with as much time as the failure of its answer needs.
+async fn call_look_up(conductor: &Conductor, failure: Failure) -> Wire {
+    let headers = if matches!(failure, Failure::DeadlinePassed) { "X-Time-Left-Ms: 600\r\n" } else { "" };
+    conductor.post(headers, &tool_call(json!(1), "wagon.position").to_string()).await
+}
+
+/// Reads the client's messages up to the response, and returns its error code.
+async fn response_code(client: &mut Wire) -> Option<i64> {
+    loop {
+        let message = client.event().await.expect("a response");
+        if message.get("id").is_some() {
+            return message["error"]["code"].as_i64();
+        }
+    }
+}
+
+/// Guards against a look-up that is told as harmless though a booking was placed by a call nested two or three levels
+/// below it.
+#[test]
+fn look_up_is_not_harmless_after_a_booking_at_any_depth() {
+    for levels in [2, 3] {
+        for failure in FAILURES {
+            story(async {
+                let (mut a, mut b, conductor) = two().await;
+                let mut client = call_look_up(&conductor, failure).await;
+                let outermost = either(&mut a, &mut b).await;
+                let mut look_ups = nest_look_ups(&mut a, &mut b, outermost, levels).await;
+                let innermost = look_ups.last_mut().expect("a look-up");
+                innermost.event(tool_call(json!("hold"), "path.hold")).await;
+                let mut booking = either(&mut a, &mut b).await;
+                let booked = result(&booking.json()["id"], json!("held")).to_string();
+                booking.answer("200 OK", "Content-Type: application/json\r\n", &booked).await;
+                booking.go_on();
+                assert_eq!(take_posted_result(&mut a, &mut b).await["result"], "held");
+                let _open = fail_answer(look_ups.remove(0), failure).await;
+                let code = response_code(&mut client).await;
+                assert_eq!(code, Some(-32004), "{failure:?} above {levels} levels");
+            });
+        }
+    }
+}
+
+/// Guards against a booking that is placed after the client was told that none was: a nested look-up outlives the call
+/// that it belongs to, and then raises a booking.
+#[test]
+fn no_booking_is_placed_once_the_client_was_told_that_none_was() {
+    for failure in [Failure::Reset, Failure::EndWithoutResponse, Failure::Unreadable] {
+        story(async {
+            let (mut a, mut b, conductor) = two().await;
+            let mut client = call_look_up(&conductor, failure).await;
+            let outermost = either(&mut a, &mut b).await;
+            let mut look_ups = nest_look_ups(&mut a, &mut b, outermost, 2).await;
+            let mut nested = look_ups.pop().expect("a nested look-up");
+            let _open = fail_answer(look_ups.remove(0), failure).await;
+            assert_eq!(response_code(&mut client).await, Some(-32003), "{failure:?}");
+            nested.event(tool_call(json!("hold"), "path.hold")).await;
+            let refused = take_posted_result(&mut a, &mut b).await;
+            assert_eq!(refused["error"]["code"], -32003, "the booking is refused: {refused}");
+            let answer = result(&nested.json()["id"], json!("found"));
+            nested.event(answer).await;
+            nested.end().await;
+            assert!(client.until("0\r\n\r\n").await.is_some(), "the client's stream ends");
+            assert_eq!(a.unseen() + b.unseen(), 0, "no booking reached a server");
+        });
+    }
+}
+
 /// A look-up may go to another server where the first one dies.
 #[test]
 fn a_look_up_is_repeated_elsewhere() {
@@ -291,6 +408,32 @@
     });
 }
 
+/// Guards against the same in a client's own process: a booking two calls down, below a look-up whose server dies.
+#[test]
+fn plug_in_tells_of_a_booking_below_a_nested_look_up() {
+    story(async {
+        let (mut a, mut b) = (Peer::start().await, Peer::start().await);
+        let servers = [member("t-a", &a.address, "tool"), member("t-b", &b.address, "tool")];
+        let rpc = parsed(&operator(None, &servers)).rpc.expect("tool servers");
+        let mut plugin = Plugin::start(rpc, "planner", 7, 128).await.expect("it starts");
+        let params = json!({"name": "wagon.position", "arguments": {}});
+        let call = Call { id: json!(1), params, session: None, time_left: None };
+        let servers_run = async {
+            let outermost = either(&mut a, &mut b).await;
+            let mut look_ups = nest_look_ups(&mut a, &mut b, outermost, 2).await;
+            look_ups[1].event(tool_call(json!("hold"), "path.hold")).await;
+            let _booking = either(&mut a, &mut b).await;
+            fail_answer(look_ups.remove(0), Failure::Reset).await;
+            std::future::pending::<()>().await;
+        };
+        let answer = tokio::select! {
+            answer = plugin.call(ToolCall { call, notes: None }) => answer,
+            () = servers_run => unreachable!("the servers wait for the answer"),
+        };
+        assert_eq!(answer.map_err(|error| error.code()), Err(-32004));
+    });
+}
+
 #[test]
 fn the_plug_in_relays_calls_of_its_own_process() {
     story(async {
