Drain: refuse requests that are complete late after SIGTERM, wherever they come

Callers saw: a client that writes slowly has its request whole 1.2 s after SIGTERM; it is served as ever, and SIGKILL cuts its answer at 4.0 s.

Cause: the limit of 0.6 s after SIGTERM, meant for requests ("one that arrives later than 0.7 s after it has to be answered before SIGKILL"), was applied to accepting connections and closing idle ones. A connection with a part of a request is neither, and nothing asked when the rest came.

Change: recovery::Drain tells from when on complete requests are refused and when those are that still arrive. Both fronts ask once the body is whole (front::body): 503, on the JSON-RPC front with -32001, as a final answer. A request that stays incomplete, in its head or its body, is refused 0.3 s before the earliest SIGKILL, by the longest deadline of the settings (3 s at most) and 0.7 s. Same cause elsewhere: after POST /healthcheck/fail a request that was whole later than 2 s was served, though at 4 s none of the last 2 s may be held; it is refused from 1.8 s on. Refusals are counted as refused and dropped, and logged under birchspur::drain.

Seen red without the fix: request_that_is_complete_late_after_sigterm_is_refused (own socket; it stops at the first), incomplete_request_is_refused_before_the_earliest_sigkill (no answer by 1.7 s), request_that_is_complete_late_after_clients_were_sent_away_is_refused.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -18,7 +18,7 @@
 use crate::interface::Micros;
 use crate::protocol::config::Config;
 use crate::protocol::figures;
-use crate::recovery::{Input, Phase, Socket};
+use crate::recovery::{Input, Phase, Socket, earliest_kill};
 use crate::routing::Core;
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
@@ -120,6 +120,8 @@
     list_wait: Duration,
     /// The longest deadline of a class, but at least `MIN_KILL_DEADLINE`.
     max_deadline: Duration,
+    /// How long after SIGTERM the platform may kill the process.
+    kill_after: Micros,
     terminate: Signal,
     /// SIGUSR1, which requests the metrics on standard output.
     print_metrics: Signal,
@@ -137,6 +139,7 @@
         let budget = Budget::new(config.limits.sockets, socket, clock);
         let (settings, links) = (config.settings.settings()?, config.settings.links()?);
         let mut classes = settings.classes.clone();
+        let kill_after = earliest_kill(classes.iter().map(|class| class.deadline).max().unwrap_or(0));
         let mut core = Core::default();
         let pool = core.add_pool(settings.clone(), seed, clock.now())?;
         let tools_pool = match &operator.rpc {
@@ -213,6 +216,7 @@
             list_received,
             list_wait: if has_known_list { DISCOVERY_WAIT } else { DISCOVERY_WAIT_WITHOUT_LIST },
             max_deadline: Duration::from_micros(max_deadline.max(MIN_KILL_DEADLINE)),
+            kill_after,
             terminate,
             print_metrics,
         })
@@ -259,7 +263,7 @@
                 Some(ended) = serving.join_next() => ended.map_err(io::Error::other)?,
             }
         }
-        self.connections.feed(Input::Terminate);
+        self.connections.feed(Input::Terminate { kill_after: self.kill_after });
         // What is still open after this time would be cut off by SIGKILL anyway.
         let ended = async { while serving.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(self.max_deadline + KILL_MARGIN, ended).await;
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -8,7 +8,7 @@
 mod pacing;
 mod release;
 
-pub use drain::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket};
+pub use drain::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket, earliest_kill};
 pub use effects::{CallEffects, EffectsRuledOut};
 pub use held::{DueRelease, HeldState};
 pub use pacing::{
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -146,6 +146,10 @@
                     self.drive(now, pool, Event::Place { request, server, held }, outputs);
                 }
             }
+            Input::RefusedByFront(pool, class) => {
+                self.totals.taken += 1;
+                self.count_end(pool, class, RequestEnd::Refused);
+            }
             Input::ClientGone(id) => {
                 let Some(open) = self.requests.get_mut(&id).filter(|open| !open.settled) else { return };
                 let pool = open.pool;
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -58,6 +58,8 @@
     Released(RequestId, bool),
     /// The answer to a place asked for ahead; true if it is held.
     Place(RequestId, ServerId, bool),
+    /// A front has refused a request of this class, which is counted like a refusal by the router.
+    RefusedByFront(PoolId, ClassId),
     /// The client has left.
     ClientGone(RequestId),
 }
--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -164,14 +164,42 @@
         }
     }
 
+    /// Returns true if requests that are complete by now are refused, as the program drains.
+    pub fn refuses_requests(&self) -> bool {
+        self.drain.with(|drain, now, _| drain.refuses(now))
+    }
+
+    /// Returns the time at which requests that are still arriving are refused, if the program drains.
+    fn refuses_incomplete_at(&self) -> Option<Instant> {
+        let at = self.drain.with(|drain, _, _| drain.refuses_incomplete_at());
+        at.map(|at| self.drain.clock.instant(at).into())
+    }
+
+    /// Waits until requests that are still arriving are refused.
+    pub async fn incomplete_refused(&self) {
+        let mut phases = self.phases();
+        loop {
+            tokio::select! {
+                () = clock::sleep_until(self.refuses_incomplete_at()) => return,
+                Ok(()) = phases.changed() => {}
+            }
+        }
+    }
+
+    /// Subscribes to the program's phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.drain.phase.subscribe()
+    }
+
     /// Returns the time at which the connection has to be closed if nothing changes; `None` while a request is open, and
     /// after the last answer.
     pub fn close_at(&self) -> Option<Instant> {
+        let refused_at = self.refuses_incomplete_at();
         let state = self.state();
         match state.stage {
             Stage::Idle if state.evicted => Some(state.since),
             Stage::Idle => Some(state.since + if state.unused { UNUSED_TIMEOUT } else { IDLE_TIMEOUT }),
-            Stage::Head => Some(state.due),
+            Stage::Head => Some(refused_at.map_or(state.due, |at| at.min(state.due))),
             Stage::Open | Stage::Answered | Stage::Ended => None,
         }
     }
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 use tower::Service;
 
+use super::body::Arrival;
 use super::connection::{Connection, ConnectionGuard, Connections};
 use crate::protocol::framing::{Framing, framing};
 use crate::protocol::platform::MAX_BODY_BYTES;
@@ -39,6 +40,8 @@
 /// A text that no parser accepts as a head. It replaces an invalid head, so that hyper answers with 400 and closes the
 /// connection.
 const INVALID_HEAD: &[u8] = b"-\r\n\r\n";
+/// The answer to a head that is still incomplete when the program has to refuse it.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How many bytes are read and discarded after the last answer: twice the size of the largest accepted body.
 const MAX_DISCARDED_BYTES: usize = 2 * MAX_BODY_BYTES;
 /// How long to wait for the client to close its side. If the connection were closed at once, bytes that the client still
@@ -52,10 +55,6 @@
     connections: Connections,
 }
 
-/// A request extension: the time by which the request's body has to be complete.
-#[derive(Clone, Copy)]
-pub struct BodyDeadline(pub Instant);
-
 impl Listener {
     /// Listens on an address.
     pub async fn bind(address: &str, connections: Connections) -> io::Result<Self> {
@@ -153,6 +152,7 @@
     let connection = gate.connection.clone();
     let stream = gate.stream.clone();
     let mut hang_up = pin!(wait_for_hang_up(stream.clone()));
+    let mut phases = connection.phases();
     let mut client_gone = false;
     let service = service_fn(|request| answer(request, routes.clone(), connection.clone()));
     let mut http = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
@@ -170,6 +170,11 @@
         let close_at = connection.close_at();
         if close_at.is_some_and(|at| at <= Instant::now()) {
             if !connection.evict_if_idle() {
+                if connection.refuses_requests() {
+                    tracing::debug!(target: "birchspur::drain", "refused a request with an incomplete head");
+                    // All answers before it are written, so this one fits into the system's buffer.
+                    let _ = stream.try_write(REFUSAL);
+                }
                 return;
             }
             // The gate checks once more for a request that has just arrived, and ends the connection if there is none.
@@ -183,6 +188,7 @@
         tokio::select! {
             () = ended => return,
             () = connection.changed.notified() => {}
+            Ok(()) = phases.changed() => {}
             () = crate::transport::clock::sleep_until(close_at) => {}
         }
     }
@@ -242,7 +248,8 @@
     connection: Arc<Connection>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let mut request = request.map(Body::new);
-    request.extensions_mut().insert(BodyDeadline(connection.open_request()));
+    let deadline = connection.open_request();
+    request.extensions_mut().insert(Arrival { deadline, connection: connection.clone() });
     let busy = BusyGuard(connection);
     let mut close_after = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = routes.call(request).await?;
--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -11,13 +11,12 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use http_body::{Body as _, Frame};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Frame;
 use tokio::sync::watch;
 
-use super::listener::BodyDeadline;
+use super::body::read_body;
 use crate::interface::Micros;
-use crate::protocol::platform::{self, MAX_BODY_BYTES};
+use crate::protocol::platform;
 use crate::protocol::settings::Names;
 use crate::recovery::Phase;
 use crate::routing::{Admission, PoolId};
@@ -46,25 +45,6 @@
     if *front.phase.borrow() == Phase::Serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
-/// Reads a body, or returns the status that refuses it. A body whose declared length is too large is refused before it
-/// arrives, and one that is incomplete at the deadline is refused then.
-pub async fn read_body(deadline: Option<BodyDeadline>, body: axum::body::Body) -> Result<Bytes, StatusCode> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let read = match deadline {
-        Some(BodyDeadline(deadline)) => tokio::time::timeout_at(deadline, body).await,
-        None => Ok(body.await),
-    };
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
-
 /// Submits a request to the hub and answers with the server's stream, or with the status of the failure.
 async fn handle_request(State(front): State<Front>, request: Request) -> Response {
     let (head, body) = request.into_parts();
@@ -72,9 +52,15 @@
         Ok(heading) => heading,
         Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
     };
-    let body = match read_body(head.extensions.get().copied(), body).await {
+    let body = match read_body(&head.extensions, body).await {
         Ok(body) => body,
-        Err(status) => return status.into_response(),
+        Err(error) => {
+            if error.is_refusal() {
+                front.hub.report_refused(front.pool, heading.request.class);
+            }
+            tracing::debug!(target: "birchspur::drain", { request.id = heading.id.as_str(), %error }, "not accepted");
+            return error.response(());
+        }
     };
     let mut headers = HeaderMap::new();
     for name in [platform::ID, CONTENT_TYPE.as_str()] {
--- a/src/transport/front/rpc.rs
+++ b/src/transport/front/rpc.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio::sync::{Notify, mpsc};
 
-use super::platform::read_body;
+use super::body::read_body;
 use crate::interface::{Micros, SessionKey};
 use crate::protocol::jsonrpc::{self, Message, Post, RpcError};
 use crate::protocol::platform::TIME_LEFT;
@@ -76,17 +76,28 @@
 
 /// Answers a POST as a whole with an error.
 fn reject(status: StatusCode, id: &Value, error: RpcError) -> Response {
-    let body = jsonrpc::response(id, &Err(error)).to_string();
-    (status, [(CONTENT_TYPE, "application/json")], body).into_response()
+    (status, error_content(id, error)).into_response()
+}
+
+/// Returns the content of an answer that consists of an error.
+fn error_content(id: &Value, error: RpcError) -> impl IntoResponse {
+    ([(CONTENT_TYPE, "application/json")], jsonrpc::response(id, &Err(error)).to_string())
 }
 
 /// Handles the messages of a POST. If any of them needs a response, the answer is a stream of events; otherwise it is
 /// 202 without a body.
 async fn handle_post(State(front): State<RpcFront>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let body = match read_body(head.extensions.get().copied(), body).await {
+    let body = match read_body(&head.extensions, body).await {
         Ok(body) => body,
-        Err(status) => return reject(status, &Value::Null, RpcError::Invalid("the body can't be read")),
+        Err(error) => {
+            tracing::debug!(target: "birchspur::drain", %error, "not accepted");
+            let told = match error.is_refusal() {
+                true => RpcError::Refused(None),
+                false => RpcError::Invalid("the body can't be read"),
+            };
+            return error.response(error_content(&Value::Null, told));
+        }
     };
     let caller = match parse_caller(&head.headers) {
         Ok(caller) => caller,
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -206,6 +206,11 @@
         (answer.await.unwrap_or(closed), handle)
     }
 
+    /// Reports a request that its front refused, so that it is counted.
+    pub fn report_refused(&self, pool: PoolId, class: ClassId) {
+        self.send_detached(Message::Input(Input::RefusedByFront(pool, class)));
+    }
+
     /// Posts a message to the server whose answer is being passed on. Nothing is sent if that answer has ended.
     pub async fn post_to_owner(&self, handle: &RequestHandle, payload: Payload) {
         self.send(Message::PostToOwner(handle.id, Arc::new(payload))).await;
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -422,6 +422,36 @@
     });
 }
 
+/// Guards against a process that was sent away and still holds a request of the last 2 s when it has to be rid of its
+/// clients: a request that is complete late is refused, until service is resumed.
+#[test]
+fn request_that_is_complete_late_after_clients_were_sent_away_is_refused() {
+    story(async {
+        let (mut reader, mut writer) = (Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+        let mut config = config(&start_discovery(servers.to_vec()).await, &servers);
+        config["admin"] = json!("127.0.0.1:0");
+        let conductor = Conductor::start_with(config, "").await;
+        let (front, admin) = (&conductor.front, &conductor.admin);
+        assert!(call(admin, "POST /healthcheck/fail").await.starts_with("HTTP/1.1 200"));
+        let sent_away_at = tokio::time::Instant::now();
+        let request = platform_request("c1", "ask", 4000, "{}");
+        let (beginning, rest) = request.split_at(request.len() - 1);
+        let mut client = Wire::connect(front).await;
+        client.write(beginning).await;
+        tokio::time::sleep_until(sent_away_at + std::time::Duration::from_secs(2)).await;
+        client.write(rest).await;
+        let answer = client.whole_end().await.expect("an orderly end");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert_eq!(reader.unseen(), 0);
+        assert_eq!(read_metrics(admin).await["handled.ask.dropped"], 1, "operators see the refusal");
+        assert!(call(admin, "POST /healthcheck/ok").await.starts_with("HTTP/1.1 200"));
+        let mut resumed = conductor.ask("c2", "ask", 4000).await;
+        serve(&mut reader, &mut writer).await;
+        assert!(resumed.rest_of_answer().await.starts_with("HTTP/1.1 200"));
+    });
+}
+
 /// Returns a call that declares a body of 60 MB, of which 1 MB follows.
 fn long_body() -> String {
     format!(
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use milletseam::interface::Micros;
-use milletseam::recovery::{Call, ConnectionId, Drain, Input, Output, Phase, Socket};
+use milletseam::recovery::{Call, ConnectionId, Drain, Input, Output, Phase, Socket, earliest_kill};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
+/// SIGTERM where SIGKILL may come 3.7 s later.
+const TERMINATE: Input = Input::Terminate { kill_after: 3_700 * MS };
 
 /// The state machine, the time, and what each connection does as the front that owns it sees it.
 struct Harness {
@@ -153,6 +155,15 @@
                 "invariant: new connections are accepted for no longer than 0.6 s"
             );
         }
+        let refusing_since = self.away_since.map(|since| since + 1_800 * MS);
+        let refusing_since =
+            refusing_since.into_iter().chain(self.draining_since.map(|since| since + 600 * MS)).min();
+        assert!(
+            refusing_since.is_none_or(|since| self.now < since || self.drain.refuses(self.now)),
+            "invariant: no request that may be cut is accepted"
+        );
+        let serving = self.away_since.is_none() && self.draining_since.is_none();
+        assert!(!serving || !self.drain.refuses(self.now), "invariant: nothing is refused in service");
     }
 }
 
@@ -219,7 +230,7 @@
     assert!(harness.call(Call::Resume));
     harness.pass(5_000 * MS);
     assert_eq!(harness.connections.len(), 1, "the drain was cancelled");
-    harness.feed(Input::Terminate);
+    harness.feed(TERMINATE);
     assert!(harness.call(Call::Away), "a call for Away succeeds while draining");
     assert!(!harness.call(Call::Resume), "service can't be resumed");
     harness.pass(600 * MS);
@@ -238,13 +249,57 @@
     harness.open(1);
     harness.pass(1_000 * MS);
     harness.open(2);
-    harness.feed(Input::Terminate);
+    harness.feed(TERMINATE);
     assert!(!harness.drain.phase().accepts_from(Socket::Shared));
     assert!(!harness.connections.contains_key(&ConnectionId(1)), "it had been idle for long enough");
     assert_eq!(harness.pass(100 * MS).len(), 1, "its first request may have been on its way");
     assert!(Phase::Draining.accepts_from(Socket::Own), "no other process accepts at an own socket");
 }
 
+/// Failure: a request that is complete over 0.7 s after SIGTERM is served and cut by SIGKILL, or one that stays
+/// incomplete is not answered before it, however short the deadlines are.
+#[test]
+fn late_and_incomplete_requests_are_refused_before_the_earliest_kill() {
+    for (socket, longest_deadline, killed_after) in [
+        (Socket::Own, 7_500 * MS, 3_700 * MS),
+        (Socket::Shared, 7_500 * MS, 3_700 * MS),
+        (Socket::Own, 1_000 * MS, 1_700 * MS),
+        (Socket::Shared, 400 * MS, 1_100 * MS),
+    ] {
+        let mut harness = Harness::serving(socket);
+        assert!(!harness.drain.refuses(harness.now) && harness.drain.refuses_incomplete_at().is_none());
+        let told_at = harness.now;
+        assert_eq!(earliest_kill(longest_deadline), killed_after);
+        harness.feed(Input::Terminate { kill_after: earliest_kill(longest_deadline) });
+        assert!(!harness.drain.refuses(told_at + 599 * MS), "clients that have not noticed yet are served");
+        assert!(harness.drain.refuses(told_at + 600 * MS));
+        let incomplete_at = harness.drain.refuses_incomplete_at().expect("a time");
+        assert!(harness.drain.refuses(incomplete_at));
+        assert!(incomplete_at + 300 * MS <= told_at + killed_after, "the refusal reaches its client");
+    }
+}
+
+/// Failure: a process that was sent away holds a request of the last 2 s when it has to be rid of its clients, or takes
+/// requests again once it is told to terminate.
+#[test]
+fn late_requests_are_refused_while_clients_are_sent_away() {
+    let mut harness = Harness::serving(Socket::Own);
+    let called_at = harness.now;
+    harness.call(Call::Away);
+    assert!(!harness.drain.refuses(called_at + 1_799 * MS));
+    assert!(harness.drain.refuses(called_at + 1_800 * MS));
+    let incomplete_at = harness.drain.refuses_incomplete_at().expect("a time");
+    assert!(incomplete_at < called_at + 4_000 * MS);
+    harness.call(Call::Resume);
+    assert!(
+        !harness.drain.refuses(called_at + 9_000 * MS) && harness.drain.refuses_incomplete_at().is_none()
+    );
+    harness.call(Call::Away);
+    harness.pass(5_000 * MS);
+    harness.feed(TERMINATE);
+    assert!(harness.drain.refuses(harness.now), "it goes on refusing");
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         3 => (0u64..6).prop_map(Step::Open),
@@ -300,12 +355,12 @@
                     );
                 }
                 Step::Ready => drop(harness.feed(Input::Ready)),
-                Step::Terminate => drop(harness.feed(Input::Terminate)),
+                Step::Terminate => drop(harness.feed(TERMINATE)),
             }
             harness.check_invariants();
         }
         // Without new events all idle connections are closed, and no further ones are accepted.
-        harness.feed(Input::Terminate);
+        harness.feed(TERMINATE);
         harness.pass(3_000 * MS);
         prop_assert!(harness.connections.values().all(|connection| *connection == Connection::Busy));
         prop_assert_eq!(harness.drain.phase(), Phase::Closing);
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,199 @@
+//! Tests of the shutdown after SIGTERM, on real processes: what is taken, what is refused, and when the process ends.
+
+mod peers;
+
+use std::os::fd::OwnedFd;
+use std::process::Stdio;
+use std::time::Duration;
+
+use peers::*;
+use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// A request that is complete later than this after SIGTERM is lost if SIGKILL finds it unanswered.
+const REQUESTS_EXCUSED_FOR: Duration = Duration::from_millis(700);
+
+/// The socket at which a process listens for clients.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ClientSocket {
+    Own,
+    /// Inherited, and also held by the test.
+    Inherited,
+}
+
+/// A process of the program with both fronts, before a reader, a writer and a tool server.
+struct Process {
+    child: Child,
+    front: String,
+    rpc: String,
+    reader: Peer,
+    writer: Peer,
+    tool: Peer,
+    _kept: (Folder, Reserved, Option<OwnedFd>),
+}
+
+impl Process {
+    /// Starts a process, with changes to its configuration, and waits until it can serve.
+    async fn start(name: &str, socket: ClientSocket, change: impl FnOnce(&mut Value)) -> Self {
+        let (reader, writer, tool) = (Peer::start().await, Peer::start().await, Peer::start().await);
+        let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+        let folder = Folder::new(name);
+        let (own_front, rpc) = (nowhere(), nowhere());
+        let mut config = config(&telling_once(&servers).await, &servers);
+        change(&mut config);
+        let inherited = (socket == ClientSocket::Inherited).then(|| {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address").to_string();
+            (OwnedFd::from(listener), address)
+        });
+        let front = inherited.as_ref().map_or(&own_front.address, |(_, address)| address).clone();
+        config["listen"] = json!(front);
+        let tools = operator(None, &[member("t-a", &tool.address, "tool")]);
+        let operator = folder.write("operator.kdl", &tools.replace("127.0.0.1:0", &rpc.address));
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null", env!("CARGO_BIN_EXE_birchspur")])
+            .args(["serve", "--operator", &operator])
+            .env("LB_CONFIG", folder.write("config.json", &config.to_string()))
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .stdin(Stdio::null())
+            .kill_on_drop(true);
+        let kept_socket = inherited.map(|(descriptor, _)| {
+            let duplicate = descriptor.try_clone().expect("a descriptor");
+            command.stdin(duplicate).env("LB_ACCEPT_FD", "7");
+            descriptor
+        });
+        let child = command.spawn().expect("it starts");
+        let process = Process {
+            child,
+            front,
+            rpc: rpc.address.clone(),
+            reader,
+            writer,
+            tool,
+            _kept: (folder, rpc, kept_socket),
+        };
+        process.wait_until_up().await;
+        process
+    }
+
+    async fn wait_until_up(&self) {
+        loop {
+            if let Ok(stream) = tokio::net::TcpStream::connect(&self.front).await {
+                let mut wire = Wire::of(stream);
+                wire.write_all_it_takes(UP).await;
+                if wire.until("\r\n").await.is_some_and(|line| line.contains("200")) {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Sends SIGTERM, and returns when that was.
+    async fn terminate(&self) -> Instant {
+        let id = self.child.id().expect("it runs").to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().await.expect("kill runs").success());
+        Instant::now()
+    }
+
+    /// Begins a platform request whose answer is then in progress; returns the client and the server's side.
+    async fn begin_stream(&mut self, id: &str) -> (Wire, Seen) {
+        let mut client = Wire::connect(&self.front).await;
+        client.write(&platform_request(id, "book", 9_000, "{}")).await;
+        self.reader.reads().await;
+        let mut seen = self.writer.next().await;
+        seen.begin().await;
+        seen.chunk("data: {\"n\":1}\n\n").await;
+        client.until("data: {\"n\":1}\n\n").await.expect("the first event");
+        (client, seen)
+    }
+
+    /// Waits for the end of the process, and returns what it has printed.
+    async fn printed(mut self) -> String {
+        assert!(self.child.wait().await.expect("it ends").success());
+        let mut printed = String::new();
+        self.child.stdout.take().expect("a pipe").read_to_string(&mut printed).await.expect("text");
+        printed
+    }
+}
+
+/// Returns a JSON-RPC request that calls a tool.
+fn rpc_request(tool: &str) -> String {
+    let body = tool_call(json!(1), tool).to_string();
+    format!("POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Guards against requests that are complete over 0.7 s after SIGTERM and are served all the same: SIGKILL then cuts them.
+#[test]
+fn request_that_is_complete_late_after_sigterm_is_refused() {
+    for socket in [ClientSocket::Own, ClientSocket::Inherited] {
+        story(async {
+            let mut process = Process::start(&format!("late-{socket:?}"), socket, |_| {}).await;
+            let request = platform_request("c1", "ask", 4_000, "{\"prompt\":1}");
+            let body_begins = request.find("\r\n\r\n").expect("a head") + 4;
+            let call = rpc_request("path.hold");
+            // Each begins before SIGTERM and is complete after the time in which requests are taken.
+            let cuts = [(&request, 20), (&request, body_begins), (&request, request.len() - 1)];
+            let mut clients = Vec::new();
+            for (text, cut) in cuts {
+                let mut client = Wire::connect(&process.front).await;
+                client.write(&text[..cut]).await;
+                clients.push((client, &text[cut..]));
+            }
+            let mut rpc_client = Wire::connect(&process.rpc).await;
+            rpc_client.write(&call[..call.len() - 1]).await;
+            let (mut streaming, mut stream) = process.begin_stream("b1").await;
+            let told_at = process.terminate().await;
+            sleep_until(told_at + REQUESTS_EXCUSED_FOR).await;
+            for (client, rest) in &mut clients {
+                client.write(rest).await;
+                let answer = client.whole_end().await.expect("an orderly end");
+                assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+            }
+            rpc_client.write(&call[call.len() - 1..]).await;
+            let answer = rpc_client.whole_end().await.expect("an orderly end");
+            assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("-32001"), "{answer}");
+            // What was taken before is finished.
+            stream.chunk("data: [DONE]\n\n").await;
+            stream.end().await;
+            assert!(streaming.rest_of_answer().await.contains("[DONE]"));
+            let unseen = process.reader.unseen() + process.tool.unseen();
+            assert_eq!(unseen, 0, "nothing that was refused has reached a server");
+            let printed = process.printed().await;
+            assert!(printed.contains("taken 4, sent 2, served 1, refused 3"), "{printed}");
+        });
+    }
+}
+
+/// Guards against clients that are left without an answer because they stopped in the middle of a request: with short
+/// deadlines SIGKILL comes before the time in which a request has to be complete.
+#[test]
+fn incomplete_request_is_refused_before_the_earliest_sigkill() {
+    story(async {
+        let with_deadlines_of_1_s = |config: &mut Value| {
+            for class in config["settings"]["Classes"].as_array_mut().expect("classes") {
+                class["DeadlineMs"] = json!(1_000.0);
+                class["AimMs"] = json!(500.0);
+            }
+        };
+        let process = Process::start("incomplete", ClientSocket::Own, with_deadlines_of_1_s).await;
+        let request = platform_request("c1", "ask", 900, "{\"prompt\":1}");
+        let told_at = process.terminate().await;
+        let mut clients = Vec::new();
+        for cut in [20, request.len() - 1] {
+            let mut client = Wire::connect(&process.front).await;
+            client.write(&request[..cut]).await;
+            clients.push(client);
+        }
+        let killed_at = told_at + Duration::from_millis(1_700);
+        for client in &mut clients {
+            let left = killed_at.saturating_duration_since(Instant::now());
+            let answer = timeout(left, client.until("\r\n")).await.expect("an answer before SIGKILL");
+            assert_eq!(answer.as_deref(), Some("HTTP/1.1 503 Service Unavailable\r\n"));
+        }
+    });
+}
