Program: end after SIGTERM only once all that was taken is finished

Cause: Program::run waited for the longest deadline and 0.5 s, taking the earliest time of SIGKILL for the time at which it comes, and a deadline, which bounds the wait for the first event, for the length of an answer. The end came at 8.00 s with a longest deadline of 7.5 s and at 5.5 s with 5 s; no attempt had an end in the log before, so no stream was taken for stopped.

Change: the program waits for its clients without a limit, as each part has its own; a client that takes nothing of its answer for 30 s after SIGTERM is given up (recovery::Drain decides). Then it waits until the hub has no request open, longest deadline and 6 s at most: the same exit dropped JSON-RPC notifications that had been answered 202. What is open at SIGTERM and how the wait ends is logged.

That releases were lost at the exit was not reproduced.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -34,11 +34,8 @@
 use crate::transport::peer::connector::Clients;
 use crate::transport::peer::{Dialect, PeerContext};
 
-/// The platform sends SIGKILL some time after the longest deadline of a class has passed. It counts that deadline
-/// as at least this many microseconds.
-const MIN_KILL_DEADLINE: Micros = 3_000_000;
-/// SIGKILL is sent this long after the deadline at the earliest. The program exits a little before.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// How long servers may be asked to release what they hold for a request that has ended.
+const RELEASE_TIME: Duration = Duration::from_secs(6);
 /// A new configuration that can't be read may not be completely written yet. It is read again after this delay.
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// How often a new configuration is read before the program gives up.
@@ -118,7 +115,7 @@
     list_received: watch::Receiver<bool>,
     /// How long to wait for that before clients are accepted.
     list_wait: Duration,
-    /// The longest deadline of a class, but at least `MIN_KILL_DEADLINE`.
+    /// The longest deadline of a class, on either front.
     max_deadline: Duration,
     /// How long after SIGTERM the platform may kill the process.
     kill_after: Micros,
@@ -215,7 +212,7 @@
             rpc,
             list_received,
             list_wait: if has_known_list { DISCOVERY_WAIT } else { DISCOVERY_WAIT_WITHOUT_LIST },
-            max_deadline: Duration::from_micros(max_deadline.max(MIN_KILL_DEADLINE)),
+            max_deadline: Duration::from_micros(max_deadline),
             kill_after,
             terminate,
             print_metrics,
@@ -264,15 +261,26 @@
             }
         }
         self.connections.feed(Input::Terminate { kill_after: self.kill_after });
-        // What is still open after this time would be cut off by SIGKILL anyway.
-        let ended = async { while serving.join_next().await.is_some() {} };
-        let _ = tokio::time::timeout(self.max_deadline + KILL_MARGIN, ended).await;
+        finish_open_work(&self.hub, serving, self.max_deadline).await;
         let counters = self.hub.counters().await;
         self.connections.feed(Input::Finished);
         Ok(counters)
     }
 }
 
+/// Waits until all clients have their answers, and nothing is left to do for requests without a client.
+async fn finish_open_work(hub: &Hub, mut serving: JoinSet<()>, max_deadline: Duration) {
+    let open = hub.counters().await.totals.open;
+    tracing::info!(open, "told to terminate: finishing what is open");
+    // A deadline bounds the wait for the first event of an answer, not its length, and SIGKILL may come late or never: as
+    // long as a client is owed the rest of its answer, the process stays.
+    while serving.join_next().await.is_some() {}
+    match tokio::time::timeout(max_deadline + RELEASE_TIME, hub.idle()).await {
+        Ok(()) => tracing::info!("all that was open is finished"),
+        Err(_) => tracing::warn!("ending although calls without a client, or releases, have not finished"),
+    }
+}
+
 /// Opens a listener for clients.
 async fn listen(address: &str, budget: &Budget) -> Result<Listener, ProgramError> {
     let listener = Listener::bind(address, budget.fronts.clone()).await;
--- a/src/recovery/drain.rs
+++ b/src/recovery/drain.rs
@@ -21,7 +21,7 @@
     Draining,
     /// No new connections are accepted; open requests are finished, and requests that arrive are refused.
     Closing,
-    /// All requests are answered, or the time for that is over.
+    /// All requests are answered.
     Ended,
 }
 
@@ -84,7 +84,7 @@
         /// See [`earliest_kill`].
         kill_after: Micros,
     },
-    /// All accepted requests are answered, or the time for that is over.
+    /// All accepted requests are answered.
     Finished,
     /// A connection has been accepted.
     Opened(ConnectionId),
@@ -142,6 +142,9 @@
 /// What a refusal needs to reach its client before SIGKILL, even if the process is held up meanwhile.
 const REFUSAL_TIME: Micros = 300_000;
 
+/// A client that takes nothing of its answer for this long no longer keeps a process from ending.
+const STALLED_CLIENT_TIMEOUT: Micros = 30_000_000;
+
 /// Returns how long after SIGTERM a process may be killed at the earliest, by the longest deadline of a class.
 pub fn earliest_kill(longest_deadline: Micros) -> Micros {
     longest_deadline.min(MAX_DEADLINE_BEFORE_KILL) + KILL_AFTER_DEADLINE
@@ -202,6 +205,13 @@
         self.refusal.map(|times| times.incomplete_from)
     }
 
+    /// Returns the time at which a client is given up that has taken nothing of its answer since then; `None` unless the
+    /// process has been told to terminate.
+    pub fn gives_up_stalled_at(&self, stalled_since: Micros) -> Option<Micros> {
+        let terminating = self.phase >= Phase::Draining;
+        terminating.then(|| stalled_since.max(self.drain_since) + STALLED_CLIENT_TIMEOUT)
+    }
+
     /// Returns the time at which [`Input::Tick`] is due next.
     pub fn next_due(&self) -> Option<Micros> {
         let times = self.drain_times()?;
--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::Instant;
 
+use crate::interface::Micros;
 use crate::recovery::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket};
 use crate::transport::clock::{self, Clock};
 
@@ -55,6 +56,19 @@
     pipelined: bool,
     /// The answer announces that it is the last one on the connection.
     last_answer: bool,
+    /// Since when the client has taken nothing of what there is to write, by the event clock.
+    stalled_since: Option<Micros>,
+}
+
+/// What becomes of a connection whose time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expiry {
+    /// It is idle, and closed if no request has just arrived.
+    Evicted,
+    /// The head of a request is incomplete.
+    IncompleteHead,
+    /// The client takes nothing of its answer, and the process is to end.
+    Stalled,
 }
 
 /// A client's connection.
@@ -71,7 +85,8 @@
         let since = Instant::now();
         let due = since + REQUEST_TIMEOUT;
         let (stage, unused, evicted, pipelined, last_answer) = (Stage::Idle, true, false, false, false);
-        let state = State { stage, since, due, unused, evicted, pipelined, last_answer };
+        let stalled_since = None;
+        let state = State { stage, since, due, unused, evicted, pipelined, last_answer, stalled_since };
         Connection { id, drain, state: Mutex::new(state), changed: Notify::new() }
     }
 
@@ -118,11 +133,26 @@
         state.evicted && state.stage == Stage::Idle
     }
 
-    /// Evicts the connection if it is idle. Called when its time is over; returns false if it isn't idle.
-    pub fn evict_if_idle(&self) -> bool {
+    /// Decides what becomes of the connection when its time is over. If it is idle, it is evicted.
+    pub fn expire(&self) -> Expiry {
         let mut state = self.state();
         state.evicted |= state.stage == Stage::Idle;
-        state.stage == Stage::Idle
+        match state.stage {
+            Stage::Idle => Expiry::Evicted,
+            Stage::Head => Expiry::IncompleteHead,
+            Stage::Open | Stage::Answered | Stage::Ended => Expiry::Stalled,
+        }
+    }
+
+    /// Records whether the client takes what is written.
+    pub fn set_stalled(&self, stalled: bool) {
+        let mut state = self.state();
+        if state.stalled_since.is_some() != stalled {
+            state.stalled_since = stalled.then(|| self.drain.clock.now());
+            drop(state);
+            // The time at which the connection has to be closed may have changed.
+            self.changed.notify_one();
+        }
     }
 
     /// Returns true if a request is open, or an answer is not fully written yet.
@@ -191,16 +221,24 @@
         self.drain.phase.subscribe()
     }
 
-    /// Returns the time at which the connection has to be closed if nothing changes; `None` while a request is open, and
-    /// after the last answer.
+    /// Returns the time at which a client is given up that takes nothing of its answer, if the program ends.
+    fn gives_up_stalled_at(&self) -> Option<Instant> {
+        let stalled_since = self.state().stalled_since?;
+        let at = self.drain.with(|drain, _, _| drain.gives_up_stalled_at(stalled_since))?;
+        Some(self.drain.clock.instant(at).into())
+    }
+
+    /// Returns the time at which the connection has to be closed if nothing changes; `None` after the last answer, and
+    /// while a request is open, unless its client takes nothing and the program ends.
     pub fn close_at(&self) -> Option<Instant> {
-        let refused_at = self.refuses_incomplete_at();
+        let (refused_at, stalled_at) = (self.refuses_incomplete_at(), self.gives_up_stalled_at());
         let state = self.state();
         match state.stage {
             Stage::Idle if state.evicted => Some(state.since),
             Stage::Idle => Some(state.since + if state.unused { UNUSED_TIMEOUT } else { IDLE_TIMEOUT }),
             Stage::Head => Some(refused_at.map_or(state.due, |at| at.min(state.due))),
-            Stage::Open | Stage::Answered | Stage::Ended => None,
+            Stage::Open | Stage::Answered => stalled_at,
+            Stage::Ended => None,
         }
     }
 }
@@ -222,7 +260,7 @@
     }
 
     /// Calls a method of the state machine at the current time, then carries out its outputs.
-    fn with<T>(&self, action: impl FnOnce(&mut Drain, crate::interface::Micros, &mut Vec<Output>) -> T) -> T {
+    fn with<T>(&self, action: impl FnOnce(&mut Drain, Micros, &mut Vec<Output>) -> T) -> T {
         let mut outputs = Vec::new();
         let mut drain = self.drain.lock().unwrap_or_else(PoisonError::into_inner);
         let result = action(&mut drain, self.clock.now(), &mut outputs);
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -30,7 +30,7 @@
 use tower::Service;
 
 use super::body::Arrival;
-use super::connection::{Connection, ConnectionGuard, Connections};
+use super::connection::{Connection, ConnectionGuard, Connections, Expiry};
 use crate::protocol::framing::{Framing, framing};
 use crate::protocol::platform::MAX_BODY_BYTES;
 use crate::recovery::{Phase, Socket};
@@ -169,13 +169,16 @@
     loop {
         let close_at = connection.close_at();
         if close_at.is_some_and(|at| at <= Instant::now()) {
-            if !connection.evict_if_idle() {
-                if connection.refuses_requests() {
-                    tracing::debug!(target: "birchspur::drain", "refused a request with an incomplete head");
-                    // All answers before it are written, so this one fits into the system's buffer.
-                    let _ = stream.try_write(REFUSAL);
+            match connection.expire() {
+                Expiry::Evicted => {}
+                Expiry::IncompleteHead => {
+                    refuse_incomplete_head(&stream, &connection);
+                    return;
+                }
+                Expiry::Stalled => {
+                    tracing::warn!(target: "birchspur::drain", "gave up a client that takes nothing of its answer");
+                    return;
                 }
-                return;
             }
             // The gate checks once more for a request that has just arrived, and ends the connection if there is none.
             let ended = poll_fn(|cx| Poll::Ready(poll_connection(cx))).await;
@@ -194,6 +197,15 @@
     }
 }
 
+/// Answers a head that is incomplete, if that is because the program no longer accepts requests.
+fn refuse_incomplete_head(stream: &TcpStream, connection: &Connection) {
+    if connection.refuses_requests() {
+        tracing::debug!(target: "birchspur::drain", "refused a request with an incomplete head");
+        // All answers before it are written, so this one fits into the system's buffer.
+        let _ = stream.try_write(REFUSAL);
+    }
+}
+
 /// Returns once the client has shut down its write side or reset the connection, even if unread bytes precede that.
 /// The interest covers urgent data and this end; urgent data is never reported because sockets are registered for
 /// plain data only.
@@ -426,7 +438,9 @@
 
 impl AsyncWrite for Gate {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        write(&self.stream, cx, |stream| stream.try_write(buf))
+        let written = write(&self.stream, cx, |stream| stream.try_write(buf));
+        self.connection.set_stalled(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -434,7 +448,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        write(&self.stream, cx, |stream| stream.try_write_vectored(bufs))
+        let written = write(&self.stream, cx, |stream| stream.try_write_vectored(bufs));
+        self.connection.set_stalled(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -102,6 +102,8 @@
     PostToOwner(RequestId, Arc<Payload>),
     /// Asks for the counters.
     GetCounters(oneshot::Sender<Counters>),
+    /// Asks to be told once no request is open and nothing is left to release.
+    NotifyWhenIdle(oneshot::Sender<()>),
 }
 
 /// What has been counted since the start, over all pools.
@@ -223,6 +225,13 @@
         receiver.await.unwrap_or_default()
     }
 
+    /// Waits until no request is open and nothing is left to release, whether or not a client waits for it.
+    pub async fn idle(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Message::NotifyWhenIdle(sender)).await;
+        let _ = receiver.await;
+    }
+
     /// Sends a message to the hub without waiting: if its inbox is full, a task of its own waits and sends it.
     pub fn send_detached(&self, message: Message) {
         if let Err(mpsc::error::TrySendError::Full(message)) = self.inbox.try_send(message) {
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -73,6 +73,8 @@
     pools: Vec<Pool>,
     requests: HashMap<RequestId, OpenRequest>,
     open_ids: HashSet<String>,
+    /// Those who wait until no request is open.
+    idle_waiters: Vec<oneshot::Sender<()>>,
     inbox: mpsc::Receiver<Message>,
 }
 
@@ -80,7 +82,16 @@
 pub fn new(core: Core, clock: Clock, budget: Budget) -> (Actor, Hub) {
     let (sender, inbox) = mpsc::channel(MAILBOX_CAPACITY);
     let hub = Hub::new(sender, budget);
-    (Actor { core, clock, pools: Vec::new(), requests: HashMap::new(), open_ids: HashSet::new(), inbox }, hub)
+    let actor = Actor {
+        core,
+        clock,
+        pools: Vec::new(),
+        requests: HashMap::new(),
+        open_ids: HashSet::new(),
+        idle_waiters: Vec::new(),
+        inbox,
+    };
+    (actor, hub)
 }
 
 impl Actor {
@@ -109,6 +120,11 @@
             for output in outputs.drain(..) {
                 self.carry_out(output).await;
             }
+            if self.requests.is_empty() {
+                for waiter in self.idle_waiters.drain(..) {
+                    let _ = waiter.send(());
+                }
+            }
         }
     }
 
@@ -151,6 +167,7 @@
                     let _ = owner.try_send(PeerMessage::Post(payload));
                 }
             }
+            Message::NotifyWhenIdle(waiter) => self.idle_waiters.push(waiter),
             Message::GetCounters(sender) => {
                 let _ = sender.send(self.counters(now));
             }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -300,6 +300,23 @@
     assert!(harness.drain.refuses(harness.now), "it goes on refusing");
 }
 
+/// Failure: a client that takes nothing of its answer keeps a process that was told to terminate for ever, or is cut off
+/// in service.
+#[test]
+fn stalled_client_is_given_up_30_s_after_sigterm_at_the_earliest() {
+    let mut harness = Harness::serving(Socket::Own);
+    let stalled_since = harness.now;
+    harness.pass(60_000 * MS);
+    assert_eq!(harness.drain.gives_up_stalled_at(stalled_since), None, "in service");
+    harness.call(Call::Away);
+    assert_eq!(harness.drain.gives_up_stalled_at(stalled_since), None, "the process stays");
+    harness.feed(TERMINATE);
+    let told_at = harness.now;
+    assert_eq!(harness.drain.gives_up_stalled_at(stalled_since), Some(told_at + 30_000 * MS));
+    harness.pass(10_000 * MS);
+    assert_eq!(harness.drain.gives_up_stalled_at(harness.now), Some(told_at + 40_000 * MS));
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         3 => (0u64..6).prop_map(Step::Open),
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -51,7 +51,8 @@
         let front = inherited.as_ref().map_or(&own_front.address, |(_, address)| address).clone();
         config["listen"] = json!(front);
         let tools = operator(None, &[member("t-a", &tool.address, "tool")]);
-        let operator = folder.write("operator.kdl", &tools.replace("127.0.0.1:0", &rpc.address));
+        let tools = tools.replace("127.0.0.1:0", &rpc.address).replace("\"15s\"", "\"4s\"");
+        let operator = folder.write("operator.kdl", &tools);
         let mut command = Command::new("/bin/sh");
         command
             .args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null", env!("CARGO_BIN_EXE_birchspur")])
@@ -197,3 +198,61 @@
         }
     });
 }
+
+/// Sets deadlines that have long passed when the answers of these tests end.
+fn short_deadlines(config: &mut Value) {
+    for class in config["settings"]["Classes"].as_array_mut().expect("classes") {
+        class["DeadlineMs"] = json!(2_000.0);
+        class["AimMs"] = json!(1_000.0);
+    }
+}
+
+/// Guards against a program that ends by itself while the events of an answer still come: a deadline bounds the wait for
+/// the first event, not the length of the answer.
+#[test]
+fn answer_in_progress_is_finished_after_sigterm_however_long_it_takes() {
+    for socket in [ClientSocket::Own, ClientSocket::Inherited] {
+        story(async {
+            let name = format!("long-{socket:?}");
+            let mut process = Process::start(&name, socket, short_deadlines).await;
+            let (mut client, mut stream) = process.begin_stream("b1").await;
+            let told_at = process.terminate().await;
+            for tick in 1..=13 {
+                sleep_until(told_at + tick * Duration::from_millis(500)).await;
+                stream.chunk(&format!("data: {{\"tick\":{tick}}}\n\n")).await;
+            }
+            stream.chunk("data: [DONE]\n\n").await;
+            stream.end().await;
+            let answer = client.rest_of_answer().await;
+            assert!(answer.contains("{\"tick\":13}") && answer.contains("[DONE]"), "{answer}");
+            let printed = process.printed().await;
+            assert!(printed.contains("served 1, refused 0, failed 0, broken 0"), "{printed}");
+        });
+    }
+}
+
+/// Guards against a call that was accepted with 202 and is dropped as the program ends, since no client waits for it.
+#[test]
+fn accepted_notification_is_carried_out_before_the_process_ends() {
+    story(async {
+        let mut process = Process::start("notification", ClientSocket::Own, |_| {}).await;
+        let body = r#"{"jsonrpc":"2.0","method":"tools/call","params":{"name":"path.hold"}}"#;
+        let mut client = Wire::connect(&process.rpc).await;
+        let length = body.len();
+        client
+            .write(&format!("POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}"))
+            .await;
+        assert!(client.until("\r\n\r\n").await.expect("a head").starts_with("HTTP/1.1 202"));
+        let mut booking = process.tool.next().await;
+        booking.begin().await;
+        booking.event(json!({"jsonrpc": "2.0", "method": "progress"})).await;
+        process.terminate().await;
+        // The client's connection is closed once the program no longer accepts requests.
+        assert_eq!(client.whole_end().await, Some(String::new()));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(process.child.try_wait().expect("a state").is_none(), "the booking is still in progress");
+        booking.event(json!({"jsonrpc": "2.0", "id": booking.json()["id"], "result": "held"})).await;
+        booking.end().await;
+        assert!(process.printed().await.contains("taken 1, sent 1,"));
+    });
+}
