Front: do not drop a request that was read behind an answer in progress

Seen by a test for late requests: a whole request that arrives while the answer before it is in progress gets no answer if the program is told to terminate before that answer ends.

Cause: a connection became idle whenever its answer was written; only bytes that had come together with the request before marked a further one. The drain closes what is idle at once in its last phase, the gate reports the end of the input (trace: pending=2, evicted=true), and hyper drops the head that it had read ahead.

Change: a connection counts the heads that have begun to arrive and are not open yet. With one of them it awaits the rest of that head after an answer, and is not idle; late ones are refused.

Seen red without the fix: request_behind_an_answer_in_progress_is_refused_and_not_dropped (an orderly end with no answer).

--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -52,14 +52,24 @@
     unused: bool,
     /// The connection is to be closed if no request begins on it.
     evicted: bool,
-    /// Bytes of a further request have arrived behind the open one.
-    pipelined: bool,
+    /// How many heads have begun to arrive whose requests are not open yet. While a request is open, these are behind it.
+    unopened_heads: u32,
     /// The answer announces that it is the last one on the connection.
     last_answer: bool,
     /// Since when the client has taken nothing of what there is to write, by the event clock.
     stalled_since: Option<Micros>,
 }
 
+impl State {
+    /// Records that a head has begun to arrive and no other request is open.
+    fn await_rest_of_head(&mut self) {
+        (self.stage, self.since, self.evicted) = (Stage::Head, Instant::now(), false);
+        if !self.unused {
+            self.due = self.since + REQUEST_TIMEOUT;
+        }
+    }
+}
+
 /// What becomes of a connection whose time is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expiry {
@@ -84,9 +94,9 @@
     fn new(id: ConnectionId, drain: Arc<DrainDriver>) -> Self {
         let since = Instant::now();
         let due = since + REQUEST_TIMEOUT;
-        let (stage, unused, evicted, pipelined, last_answer) = (Stage::Idle, true, false, false, false);
+        let (stage, unused, evicted, unopened_heads, last_answer) = (Stage::Idle, true, false, 0, false);
         let stalled_since = None;
-        let state = State { stage, since, due, unused, evicted, pipelined, last_answer, stalled_since };
+        let state = State { stage, since, due, unused, evicted, unopened_heads, last_answer, stalled_since };
         Connection { id, drain, state: Mutex::new(state), changed: Notify::new() }
     }
 
@@ -94,30 +104,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that bytes of a head have arrived. Has no effect unless the connection is idle: what arrives while an answer
-    /// is being made belongs to a later request.
+    /// Records that the first bytes of a head have arrived. What arrives while an answer is being made belongs to a later
+    /// request, whose time begins after the answer.
     pub fn head_started(&self) {
         let mut state = self.state();
+        state.unopened_heads += 1;
         if state.stage == Stage::Idle {
-            (state.stage, state.since, state.evicted) = (Stage::Head, Instant::now(), false);
-            if !state.unused {
-                state.due = state.since + REQUEST_TIMEOUT;
-            }
+            state.await_rest_of_head();
             drop(state);
             self.drain.feed(Input::RequestStarted(self.id));
         }
     }
 
-    /// Records whether bytes of a further request have arrived behind the open one.
-    pub fn set_pipelined(&self, pipelined: bool) {
-        self.state().pipelined = pipelined;
-    }
-
     /// Decides whether the answer being made is the last one on this connection, and records that. It is the last one
     /// if clients are sent away and this client has not sent a further request yet.
     pub fn decide_last_answer(&self) -> bool {
         let mut state = self.state();
-        state.last_answer = self.drain.phase.borrow().closes_after_answer() && !state.pipelined;
+        state.last_answer = self.drain.phase.borrow().closes_after_answer() && state.unopened_heads == 0;
         state.last_answer
     }
 
@@ -168,6 +171,7 @@
             state.due = Instant::now() + REQUEST_TIMEOUT;
         }
         (state.stage, state.unused) = (Stage::Open, false);
+        state.unopened_heads = state.unopened_heads.saturating_sub(1);
         let due = state.due;
         drop(state);
         self.drain.feed(Input::RequestStarted(self.id));
@@ -182,7 +186,14 @@
     /// Records that everything produced so far has been written.
     pub fn flushed(&self) {
         let mut state = self.state();
-        if state.stage == Stage::Answered {
+        if state.stage != Stage::Answered {
+            return;
+        }
+        if !state.last_answer && state.unopened_heads > 0 {
+            // The connection is not idle: closing it would drop a request that has been read, without an answer.
+            state.await_rest_of_head();
+            drop(state);
+        } else {
             let (stage, input) = match state.last_answer {
                 true => (Stage::Ended, Input::Ended(self.id)),
                 false => (Stage::Idle, Input::Answered(self.id)),
@@ -190,8 +201,8 @@
             (state.stage, state.since) = (stage, Instant::now());
             drop(state);
             self.drain.feed(input);
-            self.changed.notify_one();
         }
+        self.changed.notify_one();
     }
 
     /// Returns true if requests that are complete by now are refused, as the program drains.
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -87,6 +87,7 @@
                         pending: BytesMut::new(),
                         passable: 0,
                         reading: Reading::Head,
+                        head_started: false,
                     };
                     return (gate, guard);
                 }
@@ -330,14 +331,24 @@
     /// How many of the pending bytes may be passed on.
     passable: usize,
     reading: Reading,
+    /// The pending bytes are the beginning of a head that the connection has been told of.
+    head_started: bool,
 }
 
 impl Gate {
+    /// Tells the connection of each head once, as soon as its first bytes are pending.
+    fn report_head(&mut self) {
+        if !self.pending.is_empty() && !std::mem::replace(&mut self.head_started, true) {
+            self.connection.head_started();
+        }
+    }
+
     /// Parses the pending bytes as a head, and makes them passable once the head is complete.
     fn parse_head(&mut self) {
         match framing(&self.pending) {
             Framing::Partial => {}
             Framing::Sized(head, body) => {
+                self.head_started = false;
                 self.passable = head;
                 self.reading = if body == 0 { Reading::Head } else { Reading::Body(body) };
             }
@@ -360,7 +371,7 @@
         self.pending.advance(length);
         self.passable -= length;
         if length > 0 && self.passable == 0 && matches!(self.reading, Reading::Head) {
-            self.connection.set_pipelined(!self.pending.is_empty());
+            self.report_head();
         }
         length > 0
     }
@@ -383,7 +394,7 @@
             match gate.reading {
                 Reading::Head => {
                     if !gate.pending.is_empty() {
-                        gate.connection.head_started();
+                        gate.report_head();
                         gate.parse_head();
                         if gate.passable > 0 {
                             continue;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -170,6 +170,34 @@
     }
 }
 
+/// Guards against a request that is read while the answer before it is in progress, and dropped without an answer of its
+/// own when that one ends: the connection counts as idle then, and the program closes idle connections.
+#[test]
+fn request_behind_an_answer_in_progress_is_refused_and_not_dropped() {
+    for socket in [ClientSocket::Own, ClientSocket::Inherited] {
+        story(async {
+            let mut process = Process::start(&format!("behind-{socket:?}"), socket, |_| {}).await;
+            let (mut client, mut stream) = process.begin_stream("b1").await;
+            let (mut halting_client, mut halting_stream) = process.begin_stream("b2").await;
+            let request = platform_request("c1", "ask", 4_000, "{}");
+            client.write(&request).await;
+            halting_client.write(&request[..20]).await;
+            let told_at = process.terminate().await;
+            sleep_until(told_at + REQUESTS_EXCUSED_FOR).await;
+            for (client, stream) in [(&mut client, &mut stream), (&mut halting_client, &mut halting_stream)] {
+                stream.chunk("data: [DONE]\n\n").await;
+                stream.end().await;
+                assert!(client.rest_of_answer().await.contains("[DONE]"));
+                let answer = client.whole_end().await.expect("an orderly end");
+                assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+            }
+            assert_eq!(process.reader.unseen(), 0, "nothing that was refused has reached a server");
+            let printed = process.printed().await;
+            assert!(printed.contains("taken 3, sent 4, served 2, refused 1"), "{printed}");
+        });
+    }
+}
+
 /// Guards against clients that are left without an answer because they stopped in the middle of a request: with short
 /// deadlines SIGKILL comes before the time in which a request has to be complete.
 #[test]
