RPC front: refuse late calls under their own ids, and still carry out cancellations

Callers saw: a JSON-RPC POST that is complete late during a drain got one error under the id null, so whoever matches answers by their ids had no final answer for the call. A cancellation was refused like a call: from 1.8 s after POST /healthcheck/fail on, for as long as the clients stayed away, no open call could be cancelled (503 instead of 202), which README.md promises.

Cause: the refusal of late requests was decided on the bytes of the body, before it was known what they ask for.

Change: front::body hands a late body over with its refusal. The JSON-RPC front refuses each call in it under its own id and counts it under its class, answers what is malformed as ever, and carries out cancellations, since they bring no new work. Of a body that is still incomplete no id is known: there the id stays null.

--- a/src/transport/front/body.rs
+++ b/src/transport/front/body.rs
@@ -25,7 +25,7 @@
 }
 
 /// Why a request's body is not accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum BodyError {
     /// It is larger than accepted.
     #[error("the body is too large")]
@@ -36,9 +36,9 @@
     /// It is incomplete at its deadline.
     #[error("the body is incomplete at its deadline")]
     TooSlow,
-    /// It became complete when the program no longer accepted requests.
+    /// It became complete, with this content, when the program no longer accepted requests.
     #[error("the program no longer accepts requests")]
-    Refused,
+    Refused(Bytes),
     /// It was still incomplete when the program could wait for it no longer.
     #[error("the program no longer waits for the rest of the request")]
     RefusedIncomplete,
@@ -46,17 +46,17 @@
 
 impl BodyError {
     /// Returns true if the program refuses the request, so that sending it elsewhere is harmless.
-    pub fn is_refusal(self) -> bool {
-        matches!(self, BodyError::Refused | BodyError::RefusedIncomplete)
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, BodyError::Refused(_) | BodyError::RefusedIncomplete)
     }
 
     /// Returns the status that tells the client of this error.
-    fn status(self) -> StatusCode {
+    fn status(&self) -> StatusCode {
         match self {
             BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::Unreadable => StatusCode::BAD_REQUEST,
             BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            BodyError::Refused | BodyError::RefusedIncomplete => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::Refused(_) | BodyError::RefusedIncomplete => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -88,7 +88,7 @@
     tokio::select! {
         biased;
         body = whole_body => match body {
-            Ok(_) if connection.refuses_requests() => Err(BodyError::Refused),
+            Ok(body) if connection.refuses_requests() => Err(BodyError::Refused(body)),
             body => body,
         },
         () = connection.incomplete_refused() => Err(BodyError::RefusedIncomplete),
--- a/src/transport/front/rpc.rs
+++ b/src/transport/front/rpc.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio::sync::{Notify, mpsc};
 
-use super::body::read_body;
+use super::body::{BodyError, read_body};
 use crate::interface::{Micros, SessionKey};
 use crate::protocol::jsonrpc::{self, Message, Post, RpcError};
 use crate::protocol::platform::TIME_LEFT;
@@ -29,6 +29,11 @@
 /// The header that names a client's session, which is the scope of the ids of its calls.
 const SESSION_HEADER: &str = "x-session-key";
 
+/// The error for a response to a call that was never made.
+const STRAY_RESPONSE: RpcError = RpcError::Invalid("no call with this id awaits a response");
+
+/// A message of a POST; a faulty one with its id, or null if it has none.
+type ParsedMessage = Result<Message, (Value, RpcError)>;
 /// Identifies an open call: the session that the client named, and the call's id as JSON text.
 type CallKey = (String, String);
 
@@ -88,8 +93,9 @@
 /// 202 without a body.
 async fn handle_post(State(front): State<RpcFront>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let body = match read_body(&head.extensions, body).await {
-        Ok(body) => body,
+    let (body, refused) = match read_body(&head.extensions, body).await {
+        Ok(body) => (body, false),
+        Err(BodyError::Refused(body)) => (body, true),
         Err(error) => {
             tracing::debug!(target: "birchspur::drain", %error, "not accepted");
             let told = match error.is_refusal() {
@@ -103,44 +109,80 @@
         Ok(caller) => caller,
         Err(error) => return reject(StatusCode::BAD_REQUEST, &Value::Null, error),
     };
-    let messages = match jsonrpc::parse(&body) {
+    let (messages, is_batch) = match jsonrpc::parse(&body) {
         Ok(Post::Single(Err((id, error)))) => return reject(StatusCode::BAD_REQUEST, &id, error),
-        Ok(Post::Single(message)) => vec![message],
-        Ok(Post::Batch(messages)) => messages,
+        Ok(Post::Single(message)) => (vec![message], false),
+        Ok(Post::Batch(messages)) => (messages, true),
         Err(error) => return reject(StatusCode::BAD_REQUEST, &Value::Null, error),
     };
-    let (to_client, receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
-    let mut has_responses = false;
-    for message in messages {
-        match message {
-            Ok(Message::Request { id: None, method, params }) => {
-                front.handle_notification(&caller, &method, params)
-            }
-            Ok(Message::Request { id: Some(id), method, params }) => {
-                has_responses = true;
-                front.start_call(&caller, id, &method, params, &to_client);
-            }
-            Ok(Message::Response { id, .. }) => {
-                has_responses = true;
-                front.send_response(
-                    &to_client,
-                    id,
-                    Err(RpcError::Invalid("no call with this id awaits a response")),
-                );
-            }
-            Err((id, error)) => {
-                has_responses = true;
-                front.send_response(&to_client, id, Err(error));
+    if refused { front.refuse(&caller, messages, is_batch) } else { front.accept(&caller, messages) }
+}
+
+impl RpcFront {
+    /// Carries out the messages of a POST.
+    fn accept(&self, caller: &Caller, messages: Vec<ParsedMessage>) -> Response {
+        let (to_client, receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
+        let mut has_responses = false;
+        for message in messages {
+            match message {
+                Ok(Message::Request { id: None, method, params }) => {
+                    self.handle_notification(caller, &method, params);
+                    continue;
+                }
+                Ok(Message::Request { id: Some(id), method, params }) => {
+                    self.start_call(caller, id, &method, params, &to_client);
+                }
+                Ok(Message::Response { id, .. }) => self.send_response(&to_client, id, Err(STRAY_RESPONSE)),
+                Err((id, error)) => self.send_response(&to_client, id, Err(error)),
             }
+            has_responses = true;
+        }
+        if !has_responses {
+            return StatusCode::ACCEPTED.into_response();
+        }
+        ([(CONTENT_TYPE, "text/event-stream")], axum::body::Body::new(MessageStream(receiver)))
+            .into_response()
+    }
+
+    /// Answers a POST that became complete when the program no longer accepted requests. Its calls are refused, each
+    /// under its own id. Its cancellations are carried out, as they bring no new work.
+    fn refuse(&self, caller: &Caller, messages: Vec<ParsedMessage>, is_batch: bool) -> Response {
+        let mut responses = Vec::new();
+        for message in messages {
+            let (id, error) = match message {
+                Ok(Message::Request { id: None, method, params }) if method == jsonrpc::CANCELLED => {
+                    self.cancel_call(caller, &params);
+                    continue;
+                }
+                Ok(Message::Request { id, method, params }) => {
+                    (id.unwrap_or(Value::Null), self.refuse_call(&method, &params))
+                }
+                Ok(Message::Response { id, .. }) => (id, STRAY_RESPONSE),
+                Err(error) => error,
+            };
+            tracing::debug!(target: "birchspur::drain", { call.id = %id, %error }, "not accepted");
+            responses.push(jsonrpc::response(&id, &Err(error)));
         }
+        let content = match (responses.is_empty(), is_batch) {
+            (true, _) => return StatusCode::ACCEPTED.into_response(),
+            (false, true) => Value::Array(responses),
+            (false, false) => responses.remove(0),
+        };
+        (StatusCode::SERVICE_UNAVAILABLE, [(CONTENT_TYPE, "application/json")], content.to_string())
+            .into_response()
     }
-    if !has_responses {
-        return StatusCode::ACCEPTED.into_response();
+
+    /// Returns the error of a call that is not accepted, and counts a refusal.
+    fn refuse_call(&self, method: &str, params: &Value) -> RpcError {
+        match self.relay.tool(method, params) {
+            Ok(tool) => {
+                self.relay.hub.report_refused(self.relay.pool, tool.class);
+                RpcError::Refused(None)
+            }
+            Err(error) => error,
+        }
     }
-    ([(CONTENT_TYPE, "text/event-stream")], axum::body::Body::new(MessageStream(receiver))).into_response()
-}
 
-impl RpcFront {
     /// Sends a response to the client without waiting for space in its queue.
     fn send_response(&self, to_client: &ClientSender, id: Value, result: Result<Value, RpcError>) {
         let to_client = to_client.clone();
@@ -154,11 +196,7 @@
     /// Carries out a notification, which is never answered: cancels a call or runs a tool.
     fn handle_notification(&self, caller: &Caller, method: &str, params: Value) {
         if method == jsonrpc::CANCELLED {
-            let key = caller.session.clone().zip(jsonrpc::cancelled(&params).map(Value::to_string));
-            // If no call with this id is open, it may just have been answered.
-            if let Some(call) = key.and_then(|key| self.open_calls().get(&key).cloned()) {
-                call.notify_one();
-            }
+            self.cancel_call(caller, &params);
         } else if let Ok(tool) = self.relay.tool(method, &params) {
             let (relay, call) = (self.relay.clone(), caller.call(Value::Null, params));
             let (to_client, mut receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
@@ -167,6 +205,15 @@
         }
     }
 
+    /// Cancels the call that a cancellation with these parameters refers to.
+    fn cancel_call(&self, caller: &Caller, params: &Value) {
+        let key = caller.session.clone().zip(jsonrpc::cancelled(params).map(Value::to_string));
+        // If no call with this id is open, it may just have been answered.
+        if let Some(call) = key.and_then(|key| self.open_calls().get(&key).cloned()) {
+            call.notify_one();
+        }
+    }
+
     /// Starts a call, whose one final answer is sent to the client.
     fn start_call(&self, caller: &Caller, id: Value, method: &str, params: Value, to_client: &ClientSender) {
         let tool = match self.relay.tool(method, &params) {
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -390,6 +390,38 @@
     });
 }
 
+/// Guards against calls that can't be cancelled any more once operators have sent the clients away and further calls are
+/// refused: a cancellation brings no new work.
+#[test]
+fn open_call_can_be_cancelled_after_clients_were_sent_away() {
+    story(async {
+        let mut tool = Peer::start().await;
+        let mut config = config(&telling_once(&[]).await, &[]);
+        config["admin"] = json!("127.0.0.1:0");
+        let conductor =
+            Conductor::start_with(config, &operator(None, &[member("t-a", &tool.address, "tool")])).await;
+        let mut client = conductor.call(json!("mine"), "path.hold").await;
+        let mut seen = tool.next().await;
+        seen.begin().await;
+        seen.event(json!({"jsonrpc": "2.0", "method": "progress"})).await;
+        assert_eq!(client.event().await.expect("a note")["method"], "progress");
+        let mut admin = Wire::connect(&conductor.admin).await;
+        admin.write("POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert!(admin.rest().await.starts_with("HTTP/1.1 200"));
+        // From this time on no request may be taken.
+        tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+        let cancel = r#"{"jsonrpc":"2.0","method":"notifications/cancelled","params":{"requestId":"mine"}}"#;
+        let mut cancellation = conductor.post("X-Session-Key: s1\r\n", cancel).await;
+        let head = cancellation.until("\r\n\r\n").await.expect("a head");
+        assert!(head.starts_with("HTTP/1.1 202"), "{head}");
+        assert_eq!(code(&mut client).await, -32005);
+        let mut further = conductor.call(json!("further"), "path.hold").await;
+        let (head, body) = further.message().await.expect("an answer");
+        assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+        assert!(body.contains("\"further\"") && body.contains("-32001"), "{body}");
+    });
+}
+
 #[test]
 fn both_fronts_are_served_by_one_core() {
     story(async {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -122,10 +122,11 @@
     }
 }
 
-/// Returns a JSON-RPC request that calls a tool.
-fn rpc_request(tool: &str) -> String {
-    let body = tool_call(json!(1), tool).to_string();
-    format!("POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+/// Returns a POST of JSON-RPC messages by one session.
+fn rpc_post(messages: &Value) -> String {
+    let body = messages.to_string();
+    let length = body.len();
+    format!("POST /rpc HTTP/1.1\r\nHost: x\r\nX-Session-Key: s1\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 /// Guards against requests that are complete over 0.7 s after SIGTERM and are served all the same: SIGKILL then cuts them.
@@ -136,7 +137,7 @@
             let mut process = Process::start(&format!("late-{socket:?}"), socket, |_| {}).await;
             let request = platform_request("c1", "ask", 4_000, "{\"prompt\":1}");
             let body_begins = request.find("\r\n\r\n").expect("a head") + 4;
-            let call = rpc_request("path.hold");
+            let call = rpc_post(&tool_call(json!("late"), "path.hold"));
             // Each begins before SIGTERM and is complete after the time in which requests are taken.
             let cuts = [(&request, 20), (&request, body_begins), (&request, request.len() - 1)];
             let mut clients = Vec::new();
@@ -158,6 +159,7 @@
             rpc_client.write(&call[call.len() - 1..]).await;
             let answer = rpc_client.whole_end().await.expect("an orderly end");
             assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("-32001"), "{answer}");
+            assert!(answer.contains(r#""id":"late""#), "the refusal is told under the call's id: {answer}");
             // What was taken before is finished.
             stream.chunk("data: [DONE]\n\n").await;
             stream.end().await;
@@ -165,7 +167,48 @@
             let unseen = process.reader.unseen() + process.tool.unseen();
             assert_eq!(unseen, 0, "nothing that was refused has reached a server");
             let printed = process.printed().await;
-            assert!(printed.contains("taken 4, sent 2, served 1, refused 3"), "{printed}");
+            assert!(printed.contains("taken 5, sent 2, served 1, refused 4"), "{printed}");
+        });
+    }
+}
+
+/// Guards against calls that are refused late without an answer under their own ids, and against a cancellation that is
+/// refused with them.
+#[test]
+fn late_batch_is_refused_call_by_call_and_its_cancellation_is_carried_out() {
+    for socket in [ClientSocket::Own, ClientSocket::Inherited] {
+        story(async {
+            let mut process = Process::start(&format!("batch-{socket:?}"), socket, |_| {}).await;
+            let batch = json!([
+                tool_call(json!("first"), "path.hold"),
+                {"jsonrpc": "2.0", "method": "notifications/cancelled", "params": {"requestId": "open"}},
+                tool_call(json!(2), "wagon.position"),
+                tool_call(json!(3), "no.such"),
+            ]);
+            let mut caller = Wire::connect(&process.rpc).await;
+            caller.write(&rpc_post(&tool_call(json!("open"), "path.hold"))).await;
+            let mut open_call = process.tool.next().await;
+            open_call.begin().await;
+            let text = rpc_post(&batch);
+            let mut late = Wire::connect(&process.rpc).await;
+            late.write(&text[..text.len() - 1]).await;
+            let told_at = process.terminate().await;
+            sleep_until(told_at + REQUESTS_EXCUSED_FOR).await;
+            late.write(&text[text.len() - 1..]).await;
+            let (head, body) = late.message().await.expect("an answer");
+            assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+            let responses: Vec<Value> = serde_json::from_str(&body).expect("a batch of responses");
+            let told: Vec<_> = responses
+                .iter()
+                .map(|response| (response["id"].clone(), response["error"]["code"].as_i64()))
+                .collect();
+            let expected =
+                [(json!("first"), Some(-32001)), (json!(2), Some(-32001)), (json!(3), Some(-32602))];
+            assert_eq!(told, expected);
+            assert!(caller.rest_of_answer().await.contains("-32005"), "the open call is cancelled");
+            assert_eq!(process.tool.unseen(), 0, "nothing that was refused has reached a server");
+            let printed = process.printed().await;
+            assert!(printed.contains("taken 3,") && printed.contains("refused 2"), "{printed}");
         });
     }
 }
