Front: read what has arrived before an incomplete head is given up, and answer it

Callers saw: a client whose request is complete 2.42 s after its connect gets no answer if the process is held up for 0.14 s just then; 2.5 s are allowed. What is complete on an accepted connection is taken, so these are lost. Found by reading the related paths of the late requests.

Cause: listener::serve waits for the socket and for the head's time at once; with both due in one turn it closed the head as it stood. Idle connections had a last look at the socket, heads had none. Excluded: that the request is read and dropped (no 4xx or 5xx, nothing at the reader).

Change: when a head's time is over, the gate first reads what has arrived, from the socket itself. A complete request is served, with 50 ms for the rest of its body. A head that is still incomplete gets 408, or 503 during a drain, and no longer a close alone: its rest may cross the close. The log tells of heads that are given up (birchspur::front, debug).

Seen red without the change, green with it: request_that_is_complete_while_the_process_is_held_up_ is_answered, and whoever_trickles_until_its_time_is_over_is_ended_cleanly, which asks for 408 at an incomplete head now where it asked for an end without a byte: no less strict, as any other answer fails it. tests/races, clients, daily, service, shutdown, platform, answers passed.

--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -20,6 +20,8 @@
 /// How long a request may take to arrive completely, from its first byte or, for a connection's first request, from
 /// the time the connection was accepted. Endless heads and bodies have to be ended by a close or an error.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A body whose head was read only at its deadline is read for this long: it may have arrived with the head.
+const ARRIVED_BODY_TIME: Duration = Duration::from_millis(50);
 /// A connection that has been idle for less than this is not evicted: its request may be on its way.
 const MIN_IDLE: Duration = Duration::from_millis(50);
 /// How long to wait for a permit before another connection is evicted.
@@ -52,6 +54,8 @@
     unused: bool,
     /// The connection is to be closed if no request begins on it.
     evicted: bool,
+    /// The head that is arriving is given up unless it is complete with what has arrived by now.
+    last_read: bool,
     /// How many heads have begun to arrive whose requests are not open yet. While a request is open, these are behind it.
     unopened_heads: u32,
     /// The answer announces that it is the last one on the connection.
@@ -94,9 +98,17 @@
     fn new(id: ConnectionId, drain: Arc<DrainDriver>) -> Self {
         let since = Instant::now();
         let due = since + REQUEST_TIMEOUT;
-        let (stage, unused, evicted, unopened_heads, last_answer) = (Stage::Idle, true, false, 0, false);
-        let stalled_since = None;
-        let state = State { stage, since, due, unused, evicted, unopened_heads, last_answer, stalled_since };
+        let state = State {
+            stage: Stage::Idle,
+            since,
+            due,
+            unused: true,
+            evicted: false,
+            last_read: false,
+            unopened_heads: 0,
+            last_answer: false,
+            stalled_since: None,
+        };
         Connection { id, drain, state: Mutex::new(state), changed: Notify::new() }
     }
 
@@ -136,10 +148,12 @@
         state.evicted && state.stage == Stage::Idle
     }
 
-    /// Decides what becomes of the connection when its time is over. If it is idle, it is evicted.
+    /// Decides what becomes of the connection when its time is over. If it is idle, it is evicted. If a head is
+    /// incomplete, what has arrived of it is still to be read.
     pub fn expire(&self) -> Expiry {
         let mut state = self.state();
         state.evicted |= state.stage == Stage::Idle;
+        state.last_read = state.stage == Stage::Head;
         match state.stage {
             Stage::Idle => Expiry::Evicted,
             Stage::Head => Expiry::IncompleteHead,
@@ -147,6 +161,16 @@
         }
     }
 
+    /// Returns true if the head that is arriving is given up after what has arrived of it by now.
+    pub fn is_last_read(&self) -> bool {
+        self.state().last_read
+    }
+
+    /// Ends the last read of a head. Returns true if the head is still incomplete.
+    pub fn is_incomplete_after_last_read(&self) -> bool {
+        std::mem::take(&mut self.state().last_read)
+    }
+
     /// Records whether the client takes what is written.
     pub fn set_stalled(&self, stalled: bool) {
         let mut state = self.state();
@@ -169,8 +193,10 @@
         if state.stage != Stage::Head {
             // The head arrived behind the previous request, so its time begins now.
             state.due = Instant::now() + REQUEST_TIMEOUT;
+        } else if state.last_read {
+            state.due = Instant::now() + ARRIVED_BODY_TIME;
         }
-        (state.stage, state.unused) = (Stage::Open, false);
+        (state.stage, state.unused, state.last_read) = (Stage::Open, false, false);
         state.unopened_heads = state.unopened_heads.saturating_sub(1);
         let due = state.due;
         drop(state);
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -42,6 +42,8 @@
 const INVALID_HEAD: &[u8] = b"-\r\n\r\n";
 /// The answer to a head that is still incomplete when the program has to refuse it.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// The answer to a head that is incomplete when its time is over.
+const TIMED_OUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How many bytes are read and discarded after the last answer: twice the size of the largest accepted body.
 const MAX_DISCARDED_BYTES: usize = 2 * MAX_BODY_BYTES;
 /// How long to wait for the client to close its side. If the connection were closed at once, bytes that the client still
@@ -171,21 +173,22 @@
         let close_at = connection.close_at();
         if close_at.is_some_and(|at| at <= Instant::now()) {
             match connection.expire() {
-                Expiry::Evicted => {}
-                Expiry::IncompleteHead => {
-                    refuse_incomplete_head(&stream, &connection);
-                    return;
-                }
+                Expiry::Evicted | Expiry::IncompleteHead => {}
                 Expiry::Stalled => {
                     tracing::warn!(target: "birchspur::drain", "gave up a client that takes nothing of its answer");
                     return;
                 }
             }
-            // The gate checks once more for a request that has just arrived, and ends the connection if there is none.
+            // The gate checks once more for what has just arrived. It ends the connection if that is no request.
             let ended = poll_fn(|cx| Poll::Ready(poll_connection(cx))).await;
+            let is_head_incomplete = connection.is_incomplete_after_last_read();
             if ended || connection.is_evicted() {
                 return;
             }
+            if is_head_incomplete {
+                answer_incomplete_head(&stream, &connection);
+                return;
+            }
             continue;
         }
         let ended = poll_fn(|cx| if poll_connection(cx) { Poll::Ready(()) } else { Poll::Pending });
@@ -198,13 +201,13 @@
     }
 }
 
-/// Answers a head that is incomplete, if that is because the program no longer accepts requests.
-fn refuse_incomplete_head(stream: &TcpStream, connection: &Connection) {
-    if connection.refuses_requests() {
-        tracing::debug!(target: "birchspur::drain", "refused a request with an incomplete head");
-        // All answers before it are written, so this one fits into the system's buffer.
-        let _ = stream.try_write(REFUSAL);
-    }
+/// Answers a head that is given up: it is refused if the program no longer accepts requests, otherwise it took too long.
+/// Its rest may be on its way, and the client is owed a final answer then.
+fn answer_incomplete_head(stream: &TcpStream, connection: &Connection) {
+    let refused = connection.refuses_requests();
+    tracing::debug!(target: "birchspur::front", refused, "gave up a request with an incomplete head");
+    // All answers before it are written, so this one fits into the system's buffer.
+    let _ = stream.try_write(if refused { REFUSAL } else { TIMED_OUT });
 }
 
 /// Returns once the client has shut down its write side or reset the connection, even if unread bytes precede that.
@@ -224,6 +227,12 @@
     ready_count > 0 && poll_fd.revents & (libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR) != 0
 }
 
+/// Reads directly from the socket what has arrived, without waiting: it may have arrived since the runtime's last readiness
+/// event.
+fn read_arrived(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    (&*SockRef::from(stream)).read(buffer)
+}
+
 /// Reads from a connection; waits while nothing has arrived.
 fn read(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
     loop {
@@ -403,12 +412,16 @@
                     let mut buffer = [0; READ_BYTES];
                     let mut read_buf = ReadBuf::new(&mut buffer);
                     if gate.pending.is_empty() && gate.connection.is_evicted() {
-                        // Read directly from the socket: a request may have arrived since the runtime's last
-                        // readiness event. If there is none, the connection ends.
-                        let received = (&*SockRef::from(&*gate.stream))
-                            .read(read_buf.initialize_unfilled())
-                            .unwrap_or(0);
+                        // If no request has arrived, the connection ends.
+                        let received =
+                            read_arrived(&gate.stream, read_buf.initialize_unfilled()).unwrap_or(0);
                         read_buf.advance(received);
+                    } else if gate.connection.is_last_read() {
+                        match read_arrived(&gate.stream, read_buf.initialize_unfilled()) {
+                            Ok(received) => read_buf.advance(received),
+                            // Nothing more has arrived, so the head is given up.
+                            Err(_) => return Poll::Pending,
+                        }
                     } else {
                         ready!(read(&gate.stream, cx, &mut read_buf))?;
                     }
