Program: do not end between an accepted notification's call and one nested in it

Callers saw: a notification that was answered 202 calls a look-up; after SIGTERM, with no client left, its server raises a booking and ends its answer in one segment.

Cause: the program waits until the core has no request open. The call's request is over once its server's answer is whole, and the nested one opens only when the relay has read that far: in between none is open, and the program ended. What is still owed was judged by the core's requests, though the relay owes more than these.

Change: the relay runs calls that no client's connection may stand for (notifications, and nested calls that outlive their call) as tasks of a tokio_util TaskTracker. The program waits for these, then for the core, within the same limit as before.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio_util::task::TaskTracker;
 
 use super::error::ProgramError;
 use super::lists::{KnownServers, ListSetup};
@@ -111,6 +112,8 @@
     listener: Listener,
     admin: Option<OperatorsListener>,
     rpc: Option<(Listener, axum::Router)>,
+    /// The tasks of tool calls for which no client's connection may be open.
+    unattended: TaskTracker,
     /// True once the members are known from discovery or files.
     list_received: watch::Receiver<bool>,
     /// How long to wait for that before clients are accepted.
@@ -172,10 +175,12 @@
             rpc_front = Some((listen(address, &budget).await?, rpc, pool));
         }
         tokio::spawn(actor.run());
+        let mut unattended = TaskTracker::new();
         let rpc = match rpc_front {
             Some((listener, rpc, pool)) => {
                 let prefix = format!("{}-{seed:x}", config.name);
                 let relay = tools::start(rpc, pool, &hub, clock, (prefix, seed)).await?;
+                unattended = relay.unattended.clone();
                 Some((listener, RpcFront::new(relay).routes(&rpc.path)))
             }
             None => None,
@@ -210,6 +215,7 @@
             listener,
             admin,
             rpc,
+            unattended,
             list_received,
             list_wait: if has_known_list { DISCOVERY_WAIT } else { DISCOVERY_WAIT_WITHOUT_LIST },
             max_deadline: Duration::from_micros(max_deadline),
@@ -261,7 +267,7 @@
             }
         }
         self.connections.feed(Input::Terminate { kill_after: self.kill_after });
-        finish_open_work(&self.hub, serving, self.max_deadline).await;
+        finish_open_work(&self.hub, serving, self.unattended, self.max_deadline).await;
         let counters = self.hub.counters().await;
         self.connections.feed(Input::Finished);
         Ok(counters)
@@ -269,13 +275,24 @@
 }
 
 /// Waits until all clients have their answers, and nothing is left to do for requests without a client.
-async fn finish_open_work(hub: &Hub, mut serving: JoinSet<()>, max_deadline: Duration) {
+async fn finish_open_work(
+    hub: &Hub,
+    mut serving: JoinSet<()>,
+    unattended: TaskTracker,
+    max_deadline: Duration,
+) {
     let open = hub.counters().await.totals.open;
     tracing::info!(open, "told to terminate: finishing what is open");
     // A deadline bounds the wait for the first event of an answer, not its length, and SIGKILL may come late or never: as
     // long as a client is owed the rest of its answer, the process stays.
     while serving.join_next().await.is_some() {}
-    match tokio::time::timeout(max_deadline + RELEASE_TIME, hub.idle()).await {
+    let finished = async {
+        // Between a call and one that is nested in it no request is open, so the calls are waited for before the requests.
+        unattended.close();
+        unattended.wait().await;
+        hub.idle().await;
+    };
+    match tokio::time::timeout(max_deadline + RELEASE_TIME, finished).await {
         Ok(()) => tracing::info!("all that was open is finished"),
         Err(_) => tracing::warn!("ending although calls without a client, or releases, have not finished"),
     }
--- a/src/program/tools.rs
+++ b/src/program/tools.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 use super::error::ProgramError;
 use super::lists::{KnownServers, ListSetup};
@@ -58,5 +59,6 @@
         path: rpc.path.as_str().into(),
         id_prefix: prefix.into(),
         next_number: Arc::new(AtomicU64::new(0)),
+        unattended: TaskTracker::new(),
     })
 }
--- a/src/transport/front/rpc.rs
+++ b/src/transport/front/rpc.rs
@@ -198,10 +198,7 @@
         if method == jsonrpc::CANCELLED {
             self.cancel_call(caller, &params);
         } else if let Ok(tool) = self.relay.tool(method, &params) {
-            let (relay, call) = (self.relay.clone(), caller.call(Value::Null, params));
-            let (to_client, mut receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
-            tokio::spawn(async move { while receiver.recv().await.is_some() {} });
-            tokio::spawn(async move { relay.run(call, tool, &to_client).await });
+            self.relay.run_unattended(caller.call(Value::Null, params), tool);
         }
     }
 
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 use super::hub::message::{Body, Hub, Part, Payload, Reply, RequestHandle};
 use crate::interface::*;
@@ -28,6 +29,8 @@
 const CHARACTERS_PER_TOKEN: u64 = 4;
 /// Size limit in bytes of an answer that is not a stream of events.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// How many messages may be queued that nobody reads.
+const DISCARDED_QUEUE_CAPACITY: usize = 64;
 
 /// How calls of one tool are treated.
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +71,8 @@
     pub id_prefix: Arc<str>,
     /// The number in the next of these ids.
     pub next_number: Arc<AtomicU64>,
+    /// The tasks of calls for which no client's connection may be open. The process ends once they are finished.
+    pub unattended: TaskTracker,
 }
 
 /// Sends JSON-RPC messages to the client: besides final answers, what relayed calls report before them.
@@ -89,6 +94,14 @@
         self.clone().relay(call, tool, to_client.clone(), nesting).await
     }
 
+    /// Runs a call that nobody waits for, in a task of its own.
+    pub fn run_unattended(&self, call: Call, tool: Tool) {
+        let (to_client, mut discarded) = mpsc::channel(DISCARDED_QUEUE_CAPACITY);
+        tokio::spawn(async move { while discarded.recv().await.is_some() {} });
+        let relay = self.clone();
+        self.unattended.spawn(async move { relay.run(call, tool, &to_client).await });
+    }
+
     /// Relays a call at a depth of nesting. This is not an `async fn` because calls make nested calls, and a future
     /// can't contain itself.
     fn relay(
@@ -210,7 +223,7 @@
         let mut nested = NestedCalls::default();
         let result = self.read(body, &mut nested).await;
         if !nested.open.is_empty() {
-            tokio::spawn(self.finish_nested(nested));
+            self.relay.unattended.clone().spawn(self.finish_nested(nested));
         }
         result.ok_or(AnswerFailure::Broken)
     }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -15,6 +15,9 @@
 /// A request that is complete later than this after SIGTERM is lost if SIGKILL finds it unanswered.
 const REQUESTS_EXCUSED_FOR: Duration = Duration::from_millis(700);
 
+/// More events than are queued for one client.
+const PROGRESS_EVENTS: usize = 100;
+
 /// The socket at which a process listens for clients.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ClientSocket {
@@ -302,18 +305,21 @@
     }
 }
 
+/// Sends a notification that calls a tool, which is accepted with 202, and returns its client.
+async fn notify(process: &Process, tool: &str) -> Wire {
+    let body = json!({"jsonrpc": "2.0", "method": "tools/call", "params": {"name": tool}});
+    let mut client = Wire::connect(&process.rpc).await;
+    client.write(&rpc_post(&body)).await;
+    assert!(client.until("\r\n\r\n").await.expect("a head").starts_with("HTTP/1.1 202"));
+    client
+}
+
 /// Guards against a call that was accepted with 202 and is dropped as the program ends, since no client waits for it.
 #[test]
 fn accepted_notification_is_carried_out_before_the_process_ends() {
     story(async {
         let mut process = Process::start("notification", ClientSocket::Own, |_| {}).await;
-        let body = r#"{"jsonrpc":"2.0","method":"tools/call","params":{"name":"path.hold"}}"#;
-        let mut client = Wire::connect(&process.rpc).await;
-        let length = body.len();
-        client
-            .write(&format!("POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}"))
-            .await;
-        assert!(client.until("\r\n\r\n").await.expect("a head").starts_with("HTTP/1.1 202"));
+        let mut client = notify(&process, "path.hold").await;
         let mut booking = process.tool.next().await;
         booking.begin().await;
         booking.event(json!({"jsonrpc": "2.0", "method": "progress"})).await;
@@ -327,3 +333,34 @@
         assert!(process.printed().await.contains("taken 1, sent 1,"));
     });
 }
+
+/// Guards against a program that ends between a call that was accepted with 202 and one that is nested in it: for a moment
+/// no request is open, and no client waits for either.
+#[test]
+fn call_nested_in_an_accepted_notification_is_carried_out_before_the_process_ends() {
+    story(async {
+        let mut process = Process::start("nested", ClientSocket::Own, |_| {}).await;
+        let mut client = notify(&process, "wagon.position").await;
+        let mut look_up = process.tool.next().await;
+        look_up.begin().await;
+        look_up.event(json!({"jsonrpc": "2.0", "method": "progress"})).await;
+        process.terminate().await;
+        assert_eq!(client.whole_end().await, Some(String::new()));
+        // By now no client is connected, and only the notification keeps the process.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        // The nested call, the response and the end of the answer arrive together, behind events that take a while.
+        let nested_call = tool_call(json!("nested"), "path.hold");
+        let response = json!({"jsonrpc": "2.0", "id": look_up.json()["id"], "result": "found"});
+        let progress = json!({"jsonrpc": "2.0", "method": "progress"});
+        let events = format!("data: {progress}\n\n").repeat(PROGRESS_EVENTS);
+        let events = format!("{events}data: {nested_call}\n\ndata: {response}\n\n");
+        look_up.wire.write(&format!("{:x}\r\n{events}\r\n0\r\n\r\n", events.len())).await;
+        look_up.go_on();
+        let mut booking = timeout(Duration::from_secs(2), process.tool.next()).await.expect("it is placed");
+        assert_eq!(booking.json()["params"]["name"], "path.hold");
+        booking.begin().await;
+        booking.event(json!({"jsonrpc": "2.0", "id": booking.json()["id"], "result": "held"})).await;
+        booking.end().await;
+        assert!(process.printed().await.contains("taken 2, sent 2,"));
+    });
+}
