--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -22,10 +22,13 @@
 
 /// Runs a story; one that hangs has failed.
 pub fn story(story: impl Future<Output = ()>) {
+    story_within(Duration::from_secs(20), story);
+}
+
+/// Runs a story that needs another time limit than most.
+pub fn story_within(limit: Duration, story: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime
-        .block_on(async { tokio::time::timeout(Duration::from_secs(20), story).await })
-        .expect("the story ends");
+    runtime.block_on(async { tokio::time::timeout(limit, story).await }).expect("the story ends");
 }
 
 /// One side of a connection, with what has been read beyond the last message.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -305,6 +305,33 @@
     }
 }
 
+/// Guards against a client that takes nothing of its answer and keeps a process for ever that was told to terminate. It gets
+/// 30 s to go on.
+#[test]
+fn process_ends_30_s_after_sigterm_if_a_client_takes_nothing_of_its_answer() {
+    story_within(Duration::from_secs(50), async {
+        let mut process = Process::start("stalled", ClientSocket::Own, |_| {}).await;
+        let (_stalled_client, mut stream) = process.begin_stream("b1").await;
+        let event = format!("data: {}\n\n", "x".repeat(60_000));
+        let fill = async {
+            loop {
+                stream.chunk(&event).await;
+            }
+        };
+        // Once the server's bytes are no longer taken, neither are the program's.
+        let mut filled = std::pin::pin!(fill);
+        let _ = timeout(Duration::from_secs(2), &mut filled).await;
+        let told_at = process.terminate().await;
+        assert!(process.child.wait().await.expect("it ends").success());
+        let ended_after = told_at.elapsed();
+        let limit = Duration::from_secs(30);
+        assert!(
+            (limit..limit + Duration::from_secs(4)).contains(&ended_after),
+            "the process ended after {ended_after:?}"
+        );
+    });
+}
+
 /// Sends a notification that calls a tool, which is accepted with 202, and returns its client.
 async fn notify(process: &Process, tool: &str) -> Wire {
     let body = json!({"jsonrpc": "2.0", "method": "tools/call", "params": {"name": tool}});
