Soak: a program that the play kills is not reported as ended by itself

The program had no part in it.

Cause: World::kill_program sends SIGKILL and then drops the process, which tells its watching task. If the task is polled in between, it sees the end of a child that nobody has told it of. In all six records kept, "exited" stands 0.56 to 0.87 ms after "died"; a new start that failed would come 100 ms later, and a crash before it.

Change: the process is marked as killed before the signal, and the watching task reports no end of a marked one. An end before that is reported as ever, so the rule is as strict as it was.

--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -79,6 +79,8 @@
 /// A process of the play; it ends with it.
 struct Process {
     pid: Pid,
+    /// The play has killed it, so that it has not ended by itself.
+    killed: Arc<AtomicBool>,
     _end: oneshot::Sender<()>,
 }
 
@@ -86,17 +88,29 @@
     /// Watches a child and says when it has ended by itself.
     fn watch(mut child: Child, ended: impl FnOnce() + Send + 'static) -> Process {
         let pid = Pid::from_raw(child.id().unwrap_or(0) as i32);
+        let killed = Arc::new(AtomicBool::new(false));
         let (end, told) = oneshot::channel();
+        let killed_by_play = killed.clone();
         tokio::spawn(async move {
             tokio::select! {
                 biased;
                 _ = told => {
                     let _ = child.kill().await;
                 }
-                _ = child.wait() => ended(),
+                _ = child.wait() => {
+                    if !killed_by_play.load(Ordering::SeqCst) {
+                        ended();
+                    }
+                }
             }
         });
-        Process { pid, _end: end }
+        Process { pid, killed, _end: end }
+    }
+
+    /// Kills the process, whose end is not reported then.
+    fn kill(self) {
+        self.killed.store(true, Ordering::SeqCst);
+        self.signal(Signal::SIGKILL);
     }
 
     fn signal(&self, signal: Signal) {
@@ -389,7 +403,7 @@
     pub fn kill_program(&self) {
         let Some(program) = self.state().program.take() else { return };
         self.record.note(PROGRAM, "", Step::Died);
-        program.signal(Signal::SIGKILL);
+        program.kill();
     }
 
     /// Changes what passes to a server.
