Tests: memory of the process under crowds of clients, seen red

The tests start the built program with 1,024 descriptors and 32 or 192 MB in its configuration, and 341 clients that send large bodies in small pieces, stop half way, send byte by byte, send heads of many fields, take long answers at 1 KB a second or not at all, or post tool calls of many small values. Each request is owed a final answer, the resident set (VmHWM) has to stay below memory_mb, usual clients are served, and memory is given back.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each story file uses its own part of the helper")]
 
 pub mod auto;
+pub mod process;
 pub mod proxy;
 pub mod scripted;
 pub mod stopwatch;
