--- a/src/documents/operator.rs
+++ b/src/documents/operator.rs
@@ -6,6 +6,7 @@
 
 use super::read::{Node, Source, Value};
 use crate::interface::*;
+use crate::limits::memory::MIN_MEMORY_MB;
 use crate::membership::check::nearest;
 use crate::membership::lives::WeightSteps;
 use crate::membership::{ListedServer, Located, Refusal, SetRules, TimeoutAction, TrialRules};
@@ -25,6 +26,8 @@
     pub collectd: Option<Collectd>,
     /// The log.
     pub log: Log,
+    /// A memory limit below the platform's, in megabytes.
+    pub memory_mb: Option<f64>,
 }
 
 /// A directory of files of servers, and how it is watched and believed.
@@ -122,7 +125,7 @@
 impl Operator {
     /// Reads the document.
     pub fn parse(source: &Source) -> Result<Self, Refusal> {
-        const KNOWN: [&str; 5] = ["servers", "rpc", "graphite", "collectd", "log"];
+        const KNOWN: [&str; 6] = ["servers", "rpc", "graphite", "collectd", "log", "memory"];
         let document = source.parse()?;
         let mut operator = Operator::default();
         let mut seen = BTreeSet::new();
@@ -148,6 +151,7 @@
                     });
                 }
                 "log" => operator.log = log(&mut node)?,
+                "memory" => operator.memory_mb = Some(memory(&mut node)?),
                 _ => return Err(node.unknown(&KNOWN)),
             }
             node.end(0)?;
@@ -184,6 +188,17 @@
     Ok(log)
 }
 
+/// Reads the memory limit, in megabytes.
+fn memory(node: &mut Node) -> Result<f64, Refusal> {
+    let limit = node.need("limit")?;
+    let megabytes = limit.size()? as f64 / 1e6;
+    if megabytes < MIN_MEMORY_MB {
+        let message = format!("{megabytes} MB of memory are too few");
+        return Err(limit.refuse(message, Some(format!("at least {MIN_MEMORY_MB}MB are needed"))));
+    }
+    Ok(megabytes)
+}
+
 fn watched(node: &mut Node) -> Result<Watched, Refusal> {
     let mut cells = None;
     if let Some(child) = node.child("cells")? {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod documents;
 pub mod expect;
 pub mod interface;
+pub mod limits;
 pub mod membership;
 pub mod pace;
 pub mod program;
--- a/src/program/cli/mod.rs
+++ b/src/program/cli/mod.rs
@@ -13,6 +13,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
+use super::allocator;
 use super::error::ProgramError;
 use super::life::{self, Program, Setup};
 use crate::documents::read::Source;
@@ -121,12 +122,14 @@
 fn serve(operator: Option<&str>) -> Result<(), ProgramError> {
     let setup = Setup::read(operator)?;
     log::start(&setup.operator.log)?;
+    allocator::configure();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let name = setup.config.name.clone();
     let counters = runtime.block_on(async {
         let program = Program::start(setup).await?;
         // Logged only now, so that a start that fails prints nothing but its reason.
         tracing::info!(name, version = env!("CARGO_PKG_VERSION"), "started");
+        tokio::spawn(allocator::trim_after_loads(program.memory().clone()));
         program.run().await
     })?;
     println!("{}", figures::line(&counters.all_metrics()));
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -17,7 +17,7 @@
 use crate::documents::operator::Operator;
 use crate::documents::read::Source;
 use crate::interface::Micros;
-use crate::protocol::config::Config;
+use crate::protocol::config::{Config, MachineLimits};
 use crate::protocol::figures;
 use crate::recovery::{Input, Phase, Socket, earliest_kill};
 use crate::routing::Core;
@@ -32,6 +32,7 @@
 use crate::transport::hub::message::Counters;
 use crate::transport::hub::{self, message::Hub};
 use crate::transport::inherited::inherited_listener;
+use crate::transport::memory::MemoryBudget;
 use crate::transport::peer::connector::Clients;
 use crate::transport::peer::{Dialect, PeerContext};
 
@@ -135,8 +136,10 @@
             (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
         let hangup = signal(SignalKind::hangup())?;
         let (clock, seed) = (Clock::start(), config.seed()?);
+        let memory_mb = operator.memory_mb.unwrap_or(f64::INFINITY).min(config.limits.memory_mb);
+        let limits = MachineLimits { memory_mb, ..config.limits };
         let socket = if accept.is_some() { Socket::Shared } else { Socket::Own };
-        let budget = Budget::new(config.limits.sockets, socket, clock);
+        let budget = Budget::new(limits, socket, clock);
         let (settings, links) = (config.settings.settings()?, config.settings.links()?);
         let mut classes = settings.classes.clone();
         let kill_after = earliest_kill(classes.iter().map(|class| class.deadline).max().unwrap_or(0));
@@ -230,6 +233,11 @@
         self.connections.phases()
     }
 
+    /// Returns the memory budget.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.hub.budget().memory
+    }
+
     /// Returns the address that the platform's clients connect to, and that of the JSON-RPC front if there is one.
     pub fn addresses(&self) -> io::Result<(SocketAddr, Option<SocketAddr>)> {
         let rpc = self.rpc.as_ref().map(|(listener, _)| listener.address()).transpose()?;
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The program: connects the layers and runs them from start to exit. Also the command line and the plug-in.
 
+mod allocator;
 pub mod cli;
 mod error;
 mod life;
--- a/src/program/plugin.rs
+++ b/src/program/plugin.rs
@@ -10,15 +10,16 @@
 use super::error::ProgramError;
 use super::tools;
 use crate::documents::operator::Rpc;
+use crate::protocol::config::{DEFAULT_MEMORY_MB, MachineLimits};
 use crate::protocol::jsonrpc::{CALL, RpcError};
 use crate::recovery::Socket;
 use crate::routing::{Core, Totals};
 use crate::transport::budget::Budget;
 use crate::transport::clock::Clock;
 use crate::transport::hub::{self, message::Hub};
-use crate::transport::relay::{Call, Relay};
+use crate::transport::relay::{Call, ChargedCall, ClientMessage, Relay};
 
-/// How many notifications are buffered while the task that discards them is busy.
+/// How many notifications are buffered while the task that passes them on is busy.
 const NOTES_BUFFER_LEN: usize = 64;
 
 /// A tool call of a client.
@@ -41,7 +42,8 @@
     /// different in each process. At most `sockets` file descriptors are used.
     pub async fn start(rpc: Rpc, name: &str, seed: u64, sockets: usize) -> Result<Self, ProgramError> {
         let clock = Clock::start();
-        let budget = Budget::new(sockets, Socket::Own, clock);
+        let limits = MachineLimits { sockets, memory_mb: DEFAULT_MEMORY_MB };
+        let budget = Budget::new(limits, Socket::Own, clock);
         let mut core = Core::default();
         let pool = core.add_pool(rpc.settings.clone(), seed, clock.now())?;
         let (mut actor, hub) = hub::new(core, clock, budget);
@@ -61,6 +63,25 @@
     }
 }
 
+/// Passes notifications on to their receiver, or discards them if there is none. Ends once the receiver is gone, which
+/// tells the calls that still send notifications that their client has left.
+async fn forward_notes(mut messages: mpsc::Receiver<ClientMessage>, notes: Option<mpsc::Sender<Value>>) {
+    let Some(notes) = notes else {
+        while messages.recv().await.is_some() {}
+        return;
+    };
+    loop {
+        let message = tokio::select! {
+            message = messages.recv() => message,
+            () = notes.closed() => return,
+        };
+        let Some(message) = message else { return };
+        if notes.send(message.value).await.is_err() {
+            return;
+        }
+    }
+}
+
 impl tower::Service<ToolCall> for Plugin {
     type Response = Value;
     type Error = RpcError;
@@ -75,12 +96,10 @@
         let relay = self.relay.clone();
         Box::pin(async move {
             let tool = relay.tool(CALL, &request.call.params)?;
-            let notes = request.notes.unwrap_or_else(|| {
-                let (notes, mut discarded) = mpsc::channel(NOTES_BUFFER_LEN);
-                tokio::spawn(async move { while discarded.recv().await.is_some() {} });
-                notes
-            });
-            relay.run(request.call, tool, &notes).await
+            let (to_client, messages) = mpsc::channel(NOTES_BUFFER_LEN);
+            tokio::spawn(forward_notes(messages, request.notes));
+            let call = ChargedCall { call: request.call, memory: None };
+            relay.run(call, tool, &to_client).await.result
         })
     }
 }
--- a/src/protocol/config.rs
+++ b/src/protocol/config.rs
@@ -5,6 +5,7 @@
 
 use super::platform::List;
 use super::settings::Info;
+use crate::limits::memory::MIN_MEMORY_MB;
 
 /// The configuration that a conductor reads at its start.
 #[derive(Clone, Debug, Deserialize)]
@@ -30,10 +31,20 @@
 }
 
 /// The limits of the machine.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct MachineLimits {
     /// How many file descriptors the conductor may use.
     pub sockets: usize,
+    /// How much memory the conductor may use, in megabytes. Beyond that the platform kills it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+}
+
+/// The memory limit in megabytes where none is configured.
+pub const DEFAULT_MEMORY_MB: f64 = 192.0;
+
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
 }
 
 /// Why a configuration is refused.
@@ -48,6 +59,9 @@
     /// There are too few file descriptors to serve clients.
     #[error("{0} sockets are too few: at least {MIN_SOCKETS} are needed")]
     Sockets(usize),
+    /// There is too little memory to serve clients.
+    #[error("{0} MB of memory are too few: at least {MIN_MEMORY_MB} are needed ('limits.memory_mb')")]
+    Memory(f64),
 }
 
 /// The smallest number of file descriptors that suffices for both fronts and peers.
@@ -60,6 +74,9 @@
         if config.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::Sockets(config.limits.sockets));
         }
+        if config.limits.memory_mb < MIN_MEMORY_MB {
+            return Err(ConfigError::Memory(config.limits.memory_mb));
+        }
         Ok(config)
     }
 
--- a/src/protocol/framing.rs
+++ b/src/protocol/framing.rs
@@ -7,6 +7,47 @@
 /// The most headers, which is also the limit of the HTTP library that parses the request afterwards.
 const MAX_HEADERS: usize = 100;
 
+/// The header fields that the program and its HTTP library read, in lower case. Others are not passed on.
+const FIELDS_READ: [&str; 15] = [
+    "connection",
+    "content-length",
+    "content-type",
+    "expect",
+    "host",
+    "keep-alive",
+    "transfer-encoding",
+    "x-account",
+    "x-correlation-id",
+    "x-facts",
+    "x-repeat",
+    "x-service-class",
+    "x-session-key",
+    "x-time-left-ms",
+    "x-weight-hint",
+];
+
+/// Returns a complete and valid head without the fields that nobody reads. Parsed, these would take several times the
+/// memory of their text for as long as the request is open.
+pub fn without_unread_fields(head: &[u8]) -> Vec<u8> {
+    let is_read = |line: &[u8]| {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        // The line that ends the head has no name.
+        line.iter().all(u8::is_ascii_whitespace)
+            || FIELDS_READ.iter().any(|read| name.eq_ignore_ascii_case(read.as_bytes()))
+    };
+    let mut lines = head.split_inclusive(|byte| *byte == b'\n');
+    // Empty lines may precede the request line.
+    let mut kept = Vec::new();
+    for line in lines.by_ref() {
+        kept.extend_from_slice(line);
+        if !line.iter().all(u8::is_ascii_whitespace) {
+            break;
+        }
+    }
+    lines.filter(|line| is_read(line)).for_each(|line| kept.extend_from_slice(line));
+    kept
+}
+
 /// The extent of a request, as its first bytes give it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/src/protocol/framing/tests.rs
+++ b/src/protocol/framing/tests.rs
@@ -24,3 +24,11 @@
         Framing::Malformed
     );
 }
+
+/// Failure: fields that nobody reads take memory for as long as their request is open, or a field that is read gets lost.
+#[test]
+fn only_fields_that_are_read_are_passed_on() {
+    let head = "\r\nPOST /v1/x?Host: HTTP/1.1\r\nHost: x\r\nX-00: v\r\nx-FACTS: a=1\r\nAccept: */*\r\n\r\n";
+    let kept = "\r\nPOST /v1/x?Host: HTTP/1.1\r\nHost: x\r\nx-FACTS: a=1\r\n\r\n";
+    assert_eq!(String::from_utf8_lossy(&without_unread_fields(head.as_bytes())), kept);
+}
--- a/src/protocol/jsonrpc.rs
+++ b/src/protocol/jsonrpc.rs
@@ -137,6 +137,33 @@
     Batch(Vec<Result<Message, (Value, RpcError)>>),
 }
 
+/// Returns an upper bound of the memory that JSON of this text takes: the text, its parsed values, and one copy of these.
+/// Values may take a hundred times their text, so this is asked for before the text is parsed.
+pub fn parsed_size_bound(text: &[u8]) -> usize {
+    /// A node of a map holds up to eleven entries, and takes its full size with the first.
+    const MAP_BYTES: usize = 640;
+    /// An entry of a map, at the lowest use of its nodes, with its key.
+    const ENTRY_BYTES: usize = 144;
+    /// An array has room for four values at least.
+    const ARRAY_BYTES: usize = 144;
+    /// A value, in an array that has just been doubled.
+    const VALUE_BYTES: usize = 64;
+    /// Half of the least allocation for a string.
+    const QUOTE_BYTES: usize = 16;
+    let parsed: usize = text
+        .iter()
+        .map(|byte| match byte {
+            b'{' => MAP_BYTES,
+            b':' => ENTRY_BYTES,
+            b'[' => ARRAY_BYTES,
+            b',' => VALUE_BYTES,
+            b'"' => QUOTE_BYTES,
+            _ => 1,
+        })
+        .sum();
+    text.len() + 2 * parsed
+}
+
 /// Parses the body of a POST.
 pub fn parse(body: &[u8]) -> Result<Post, RpcError> {
     match serde_json::from_slice(body).map_err(|_| RpcError::Parse)? {
@@ -216,6 +243,11 @@
 }
 
 impl Events {
+    /// Returns how many bytes are buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.line.capacity() + self.data.capacity()
+    }
+
     /// Parses the next bytes and returns the data of the events that they complete. Returns `None` if the stream is
     /// not UTF-8 or an event is too large.
     pub fn feed(&mut self, bytes: &[u8]) -> Option<Vec<String>> {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -216,6 +216,11 @@
         Ok(complete)
     }
 
+    /// Returns how many bytes are buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.partial_event.len()
+    }
+
     /// Returns the bytes that are left when the stream has ended regularly.
     pub fn finish(&mut self) -> Result<Bytes, MalformedStream> {
         let rest = self.partial_event.split().freeze();
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -1,10 +1,12 @@
-//! The file descriptor budget. Fronts and peers each have a share of their own, so that neither can starve the
-//! other.
+//! The budgets of file descriptors and memory. Fronts and peers each have a share of the descriptors of their own, so that
+//! neither can starve the other; memory is one budget for all.
 
 use super::clock::Clock;
 use super::front::connection::Connections;
+use super::memory::{CONNECTION_BYTES, MemoryBudget, PEER_CONNECTION_BYTES};
 use super::peer::idle::ConnectionBudget;
-use crate::protocol::config::MIN_SOCKETS;
+use crate::limits::memory;
+use crate::protocol::config::{MIN_SOCKETS, MachineLimits};
 use crate::recovery::Socket;
 
 /// Share of the available descriptors that is for client connections. Each client connection has at most one call to
@@ -13,28 +15,42 @@
 /// Descriptors set aside for the runtime, standard streams, listeners, discovery and metrics export.
 const RESERVED_DESCRIPTORS: usize = 32;
 
-/// The connections that fronts and peers may open.
+/// The share of the memory that client connections alone may take, without the requests on them.
+const FRONT_MEMORY_SHARE: f64 = 0.4;
+/// The share of the memory that connections to peers may take.
+const PEER_MEMORY_SHARE: f64 = 0.3;
+
+/// The connections that fronts and peers may open, and the memory that all of the program may use.
 #[derive(Clone, Debug)]
 pub struct Budget {
     /// Client connections, over all fronts.
     pub fronts: Connections,
     /// Connections to peers, over all pools.
     pub peers: ConnectionBudget,
+    /// Memory.
+    pub memory: MemoryBudget,
 }
 
 impl Budget {
-    /// Splits `sockets` descriptors, or as many as the system allows this process if that is less. `socket` says
+    /// Splits the descriptors of these limits, or as many as the system allows this process if that is less. `socket` says
     /// whether the clients' listening socket is shared with other processes.
-    pub fn new(sockets: usize, socket: Socket, clock: Clock) -> Self {
+    pub fn new(limits: MachineLimits, socket: Socket, clock: Clock) -> Self {
+        let sockets = limits.sockets;
         let allowed = system_limit().map_or(sockets, |limit| sockets.min(limit.max(MIN_SOCKETS)));
         if allowed < sockets {
             tracing::warn!(sockets, allowed, "the system allows fewer descriptors than the configuration");
         }
         let available = allowed.saturating_sub(RESERVED_DESCRIPTORS);
         let fronts = (available as f64 * FRONT_SHARE) as usize;
+        let memory = MemoryBudget::new(memory::capacity(limits.memory_mb), clock);
+        let affordable =
+            |share: f64, bytes: usize| ((memory.capacity() as f64 * share) as usize / bytes).max(1);
+        let max_fronts = fronts.min(affordable(FRONT_MEMORY_SHARE, CONNECTION_BYTES));
+        let max_peers = (available - fronts).min(affordable(PEER_MEMORY_SHARE, PEER_CONNECTION_BYTES));
         Budget {
-            fronts: Connections::new(fronts, socket, clock),
-            peers: ConnectionBudget::new(available - fronts),
+            fronts: Connections::new(max_fronts, socket, clock, memory.clone()),
+            peers: ConnectionBudget::new(max_peers).charged_to(memory.clone()),
+            memory,
         }
     }
 }
--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -11,6 +11,7 @@
 use crate::interface::Micros;
 use crate::recovery::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket};
 use crate::transport::clock::{self, Clock};
+use crate::transport::memory::{ArrivingRequest, CONNECTION_BYTES, Charge, MemoryBudget};
 
 /// How long a connection may stay open without ever sending a request. Clients that connect and send nothing have to
 /// be disconnected.
@@ -90,12 +91,14 @@
     id: ConnectionId,
     drain: Arc<DrainDriver>,
     state: Mutex<State>,
+    /// The request that is arriving.
+    pub arrival: ArrivingRequest,
     /// Notified when an answer has been written, and when the connection is evicted.
     pub changed: Notify,
 }
 
 impl Connection {
-    fn new(id: ConnectionId, drain: Arc<DrainDriver>) -> Self {
+    fn new(id: ConnectionId, drain: Arc<DrainDriver>, arrival: ArrivingRequest) -> Self {
         let since = Instant::now();
         let due = since + REQUEST_TIMEOUT;
         let state = State {
@@ -109,7 +112,7 @@
             last_answer: false,
             stalled_since: None,
         };
-        Connection { id, drain, state: Mutex::new(state), changed: Notify::new() }
+        Connection { id, drain, state: Mutex::new(state), arrival, changed: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -182,6 +185,11 @@
         }
     }
 
+    /// Returns true if the head that is arriving has been shed, as memory is needed for others.
+    pub fn is_head_shed(&self) -> bool {
+        self.arrival.is_shed() && self.state().stage == Stage::Head
+    }
+
     /// Returns true if a request is open, or an answer is not fully written yet.
     pub fn is_busy(&self) -> bool {
         matches!(self.state().stage, Stage::Open | Stage::Answered)
@@ -328,6 +336,7 @@
     permits: Arc<Semaphore>,
     drain: Arc<DrainDriver>,
     ids: Arc<std::sync::atomic::AtomicU64>,
+    memory: MemoryBudget,
 }
 
 /// Keeps a connection registered, and holds its permit of the budget. Dropping it removes the connection.
@@ -335,6 +344,7 @@
     /// The connection.
     pub connection: Arc<Connection>,
     _permit: OwnedSemaphorePermit,
+    _charge: Charge,
 }
 
 impl Drop for ConnectionGuard {
@@ -346,8 +356,8 @@
 
 impl Connections {
     /// Creates an empty set of at most `max_connections` connections. `socket` says whether the listening socket is
-    /// shared with other processes.
-    pub fn new(max_connections: usize, socket: Socket, clock: Clock) -> Self {
+    /// shared with other processes; the connections are charged to `memory`.
+    pub fn new(max_connections: usize, socket: Socket, clock: Clock, memory: MemoryBudget) -> Self {
         let drain = DrainDriver {
             clock,
             drain: Mutex::new(Drain::new(socket)),
@@ -359,6 +369,7 @@
             permits: Arc::new(Semaphore::new(max_connections)),
             drain: Arc::new(drain),
             ids: Arc::default(),
+            memory,
         }
     }
 
@@ -431,10 +442,14 @@
     /// Registers a connection that has been accepted.
     pub fn register(&self, permit: OwnedSemaphorePermit) -> ConnectionGuard {
         let id = ConnectionId(self.ids.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
-        let connection = Arc::new(Connection::new(id, self.drain.clone()));
+        let charge = self.memory.charge_unconditionally(CONNECTION_BYTES);
+        if self.memory.is_short() {
+            self.evict_longest_idle();
+        }
+        let connection = Arc::new(Connection::new(id, self.drain.clone(), self.memory.register_arrival()));
         self.drain.connections().insert(id, connection.clone());
         self.drain.feed(Input::Opened(id));
-        ConnectionGuard { connection, _permit: permit }
+        ConnectionGuard { connection, _permit: permit, _charge: charge }
     }
 }
 
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -31,12 +31,16 @@
 
 use super::body::Arrival;
 use super::connection::{Connection, ConnectionGuard, Connections, Expiry};
-use crate::protocol::framing::{Framing, framing};
+use crate::protocol::framing::{Framing, MAX_HEAD_BYTES, framing, without_unread_fields};
 use crate::protocol::platform::MAX_BODY_BYTES;
 use crate::recovery::{Phase, Socket};
 
 /// Size of the read buffer while a head is awaited, in bytes.
 const READ_BYTES: usize = 2048;
+/// The most that is read at once of a body, in bytes: less than hyper's first buffer, which it enlarges for reads that fill it.
+const MAX_READ_BYTES: usize = 4 * 1024;
+/// The most that hyper buffers of a request or an answer, in bytes; it has to hold the largest head.
+const HTTP_BUFFER_BYTES: usize = MAX_HEAD_BYTES + READ_BYTES;
 /// A text that no parser accepts as a head. It replaces an invalid head, so that hyper answers with 400 and closes the
 /// connection.
 const INVALID_HEAD: &[u8] = b"-\r\n\r\n";
@@ -90,6 +94,7 @@
                         passable: 0,
                         reading: Reading::Head,
                         head_started: false,
+                        parse_at: 0,
                     };
                     return (gate, guard);
                 }
@@ -158,7 +163,9 @@
     let mut phases = connection.phases();
     let mut client_gone = false;
     let service = service_fn(|request| answer(request, routes.clone(), connection.clone()));
-    let mut http = pin!(http1::Builder::new().serve_connection(TokioIo::new(gate), service));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(HTTP_BUFFER_BYTES);
+    let mut http = pin!(builder.serve_connection(TokioIo::new(gate), service));
     // Each poll reads what has arrived. hyper notices that the client has closed only when it has nothing more to read,
     // so a pipelined request would hide the close.
     let mut poll_connection = |cx: &mut Context<'_>| {
@@ -170,6 +177,9 @@
         ended || client_gone && connection.is_busy()
     };
     loop {
+        if connection.is_head_shed() {
+            return answer_shed_head(&stream);
+        }
         let close_at = connection.close_at();
         if close_at.is_some_and(|at| at <= Instant::now()) {
             match connection.expire() {
@@ -195,6 +205,7 @@
         tokio::select! {
             () = ended => return,
             () = connection.changed.notified() => {}
+            () = connection.arrival.shed(), if !connection.arrival.is_shed() => {}
             Ok(()) = phases.changed() => {}
             () = crate::transport::clock::sleep_until(close_at) => {}
         }
@@ -210,6 +221,12 @@
     let _ = stream.try_write(if refused { REFUSAL } else { TIMED_OUT });
 }
 
+/// Refuses a request whose head has been shed, as memory is needed for others.
+fn answer_shed_head(stream: &TcpStream) {
+    tracing::debug!(target: "birchspur::memory", "refused a request with an incomplete head");
+    let _ = stream.try_write(REFUSAL);
+}
+
 /// Returns once the client has shut down its write side or reset the connection, even if unread bytes precede that.
 /// The interest covers urgent data and this end; urgent data is never reported because sockets are registered for
 /// plain data only.
@@ -342,6 +359,9 @@
     reading: Reading,
     /// The pending bytes are the beginning of a head that the connection has been told of.
     head_started: bool,
+    /// An incomplete head without a further line is parsed again only once this many bytes are pending, so that the work
+    /// does not grow with the square of its length.
+    parse_at: usize,
 }
 
 impl Gate {
@@ -355,14 +375,14 @@
     /// Parses the pending bytes as a head, and makes them passable once the head is complete.
     fn parse_head(&mut self) {
         match framing(&self.pending) {
-            Framing::Partial => {}
+            Framing::Partial => self.parse_at = 2 * self.pending.len(),
             Framing::Sized(head, body) => {
                 self.head_started = false;
-                self.passable = head;
+                self.pass_head(head);
                 self.reading = if body == 0 { Reading::Head } else { Reading::Body(body) };
             }
             Framing::Chunked(head) => {
-                self.passable = head;
+                self.pass_head(head);
                 self.reading = Reading::Rest;
             }
             Framing::Malformed => {
@@ -373,12 +393,37 @@
         }
     }
 
+    /// Makes the complete head at the start of the pending bytes passable, without the fields that nobody reads.
+    fn pass_head(&mut self, head_length: usize) {
+        let head = without_unread_fields(&self.pending[..head_length]);
+        self.passable = head.len();
+        self.parse_at = 0;
+        let mut pending = BytesMut::from(&head[..]);
+        pending.extend_from_slice(&self.pending[head_length..]);
+        self.pending = pending;
+        self.connection.arrival.clear();
+    }
+
+    /// Adds what has been read to the pending head. Returns false if there is no memory for it.
+    fn append_to_head(&mut self, bytes: &[u8]) -> bool {
+        self.pending.extend_from_slice(bytes);
+        if bytes.contains(&b'\n') {
+            self.parse_at = 0;
+        }
+        let beyond_first_read = self.pending.capacity().saturating_sub(READ_BYTES);
+        beyond_first_read == 0 || self.connection.arrival.resize_head(beyond_first_read).is_ok()
+    }
+
     /// Passes on the passable bytes, as far as the buffer has space. Returns false if nothing was passed on.
     fn pass_on(&mut self, buf: &mut ReadBuf<'_>) -> bool {
         let length = self.passable.min(buf.remaining());
         buf.put_slice(&self.pending[..length]);
         self.pending.advance(length);
         self.passable -= length;
+        if self.pending.is_empty() {
+            // Gives back the buffer of a large head.
+            self.pending = BytesMut::new();
+        }
         if length > 0 && self.passable == 0 && matches!(self.reading, Reading::Head) {
             self.report_head();
         }
@@ -404,7 +449,9 @@
                 Reading::Head => {
                     if !gate.pending.is_empty() {
                         gate.report_head();
-                        gate.parse_head();
+                        if gate.pending.len() >= gate.parse_at {
+                            gate.parse_head();
+                        }
                         if gate.passable > 0 {
                             continue;
                         }
@@ -428,7 +475,11 @@
                     if read_buf.filled().is_empty() {
                         return Poll::Ready(Ok(()));
                     }
-                    gate.pending.extend_from_slice(read_buf.filled());
+                    if !gate.append_to_head(read_buf.filled()) {
+                        // The connection is answered and closed by the task that serves it.
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
                 }
                 Reading::Body(left) if !gate.pending.is_empty() => {
                     gate.passable = usize::try_from(left).unwrap_or(usize::MAX).min(gate.pending.len());
@@ -436,6 +487,7 @@
                 }
                 Reading::Body(left) => {
                     let limit = usize::try_from(left).unwrap_or(usize::MAX).min(buf.remaining());
+                    let limit = limit.min(MAX_READ_BYTES);
                     let mut read_buf = ReadBuf::new(buf.initialize_unfilled_to(limit));
                     ready!(read(&gate.stream, cx, &mut read_buf))?;
                     let read = read_buf.filled().len();
@@ -444,7 +496,14 @@
                     return Poll::Ready(Ok(()));
                 }
                 Reading::Rest if !gate.pending.is_empty() => gate.passable = gate.pending.len(),
-                Reading::Rest => return read(&gate.stream, cx, buf),
+                Reading::Rest => {
+                    let limit = buf.remaining().min(MAX_READ_BYTES);
+                    let mut read_buf = ReadBuf::new(buf.initialize_unfilled_to(limit));
+                    ready!(read(&gate.stream, cx, &mut read_buf))?;
+                    let read = read_buf.filled().len();
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
             }
         }
     }
--- a/src/transport/front/platform.rs
+++ b/src/transport/front/platform.rs
@@ -14,13 +14,14 @@
 use http_body::Frame;
 use tokio::sync::watch;
 
-use super::body::read_body;
+use super::body::{BodyError, read_body};
 use crate::interface::Micros;
 use crate::protocol::platform;
 use crate::protocol::settings::Names;
 use crate::recovery::Phase;
 use crate::routing::{Admission, PoolId};
 use crate::transport::hub::message::{Body, Hub, IncompleteStream, Part, Payload, Reply, RequestHandle};
+use crate::transport::memory::REQUEST_BYTES;
 
 /// The state that the handlers of the platform's front share.
 #[derive(Clone)]
@@ -52,24 +53,25 @@
         Ok(heading) => heading,
         Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
     };
-    let body = match read_body(&head.extensions, body).await {
-        Ok(body) => body,
-        Err(error) => {
-            if error.is_refusal() {
-                front.hub.report_refused(front.pool, heading.request.class);
-            }
-            tracing::debug!(target: "birchspur::drain", { request.id = heading.id.as_str(), %error }, "not accepted");
-            return error.response(());
+    let refuse = |error: BodyError| {
+        if error.is_refusal() {
+            front.hub.report_refused(front.pool, heading.request.class);
         }
+        tracing::debug!(target: "birchspur::drain", { request.id = heading.id.as_str(), %error }, "not accepted");
+        error.response(())
     };
-    let mut headers = HeaderMap::new();
-    for name in [platform::ID, CONTENT_TYPE.as_str()] {
-        if let Some(value) = head.headers.get(name) {
-            headers.insert(http::HeaderName::from_static(name), value.clone());
-        }
-    }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
-    let payload = Payload { id: heading.id, method: head.method, path, headers, body };
+    let Ok(memory) = front.hub.budget().memory.charge_request(REQUEST_BYTES + path.len()) else {
+        return refuse(BodyError::OutOfMemory);
+    };
+    let body = match read_body(&head.extensions, body).await {
+        Ok(body) => body,
+        Err(error) => return refuse(error),
+    };
+    let headers = forwarded_headers(&head.headers);
+    let memory = Some(Arc::new(memory));
+    let payload = Payload { id: heading.id, method: head.method, path, headers, body, memory };
+    drop((head.headers, head.extensions));
     let admission = Admission { pool: front.pool, request: heading.request, time_left: heading.time_left };
     match front.hub.submit(admission, payload).await {
         (Reply::Stream(body), request_handle) => {
@@ -96,6 +98,19 @@
     }
 }
 
+/// Returns the headers that are passed on to servers. Their values are copied: they are slices of the buffer that holds the
+/// whole head.
+fn forwarded_headers(received: &HeaderMap) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for name in [platform::ID, CONTENT_TYPE.as_str()] {
+        let value = received.get(name).and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
+        if let Some(value) = value {
+            headers.insert(http::HeaderName::from_static(name), value);
+        }
+    }
+    headers
+}
+
 /// Formats a time span in seconds with three decimal places.
 fn format_seconds(time: Micros) -> String {
     format!("{}.{:03}", time / 1_000_000, time / 1000 % 1000)
--- a/src/transport/front/rpc.rs
+++ b/src/transport/front/rpc.rs
@@ -22,7 +22,8 @@
 use crate::protocol::jsonrpc::{self, Message, Post, RpcError};
 use crate::protocol::platform::TIME_LEFT;
 use crate::protocol::settings::digest;
-use crate::transport::relay::{Call, ClientSender, Relay, Tool};
+use crate::transport::memory::Charge;
+use crate::transport::relay::{Call, ChargedCall, ClientMessage, ClientSender, Relay, Tool};
 
 /// How many messages to a client may be queued.
 const MESSAGE_QUEUE_CAPACITY: usize = 64;
@@ -109,28 +110,44 @@
         Ok(caller) => caller,
         Err(error) => return reject(StatusCode::BAD_REQUEST, &Value::Null, error),
     };
+    let Ok(memory) = front.relay.memory().charge_request(jsonrpc::parsed_size_bound(&body)) else {
+        tracing::debug!(target: "birchspur::memory", bytes = body.len(), "a POST is refused: its values take too much");
+        return reject(StatusCode::SERVICE_UNAVAILABLE, &Value::Null, RpcError::Refused(None));
+    };
     let (messages, is_batch) = match jsonrpc::parse(&body) {
         Ok(Post::Single(Err((id, error)))) => return reject(StatusCode::BAD_REQUEST, &id, error),
         Ok(Post::Single(message)) => (vec![message], false),
         Ok(Post::Batch(messages)) => (messages, true),
         Err(error) => return reject(StatusCode::BAD_REQUEST, &Value::Null, error),
     };
-    if refused { front.refuse(&caller, messages, is_batch) } else { front.accept(&caller, messages) }
+    drop(body);
+    if refused {
+        front.refuse(&caller, messages, is_batch)
+    } else {
+        front.accept(&caller, messages, &Arc::new(memory))
+    }
 }
 
 impl RpcFront {
-    /// Carries out the messages of a POST.
-    fn accept(&self, caller: &Caller, messages: Vec<ParsedMessage>) -> Response {
+    /// Carries out the messages of a POST, for which `memory` is charged.
+    fn accept(&self, caller: &Caller, messages: Vec<ParsedMessage>, memory: &Arc<Charge>) -> Response {
         let (to_client, receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
         let mut has_responses = false;
         for message in messages {
             match message {
                 Ok(Message::Request { id: None, method, params }) => {
-                    self.handle_notification(caller, &method, params);
+                    self.handle_notification(caller, &method, params, memory);
                     continue;
                 }
                 Ok(Message::Request { id: Some(id), method, params }) => {
-                    self.start_call(caller, id, &method, params, &to_client);
+                    match self.relay.tool(&method, &params) {
+                        Ok(tool) => {
+                            let call = caller.call(id, params);
+                            let call = ChargedCall { call, memory: Some(memory.clone()) };
+                            self.start_call(caller, call, tool, &to_client);
+                        }
+                        Err(error) => self.send_response(&to_client, id, Err(error)),
+                    }
                 }
                 Ok(Message::Response { id, .. }) => self.send_response(&to_client, id, Err(STRAY_RESPONSE)),
                 Err((id, error)) => self.send_response(&to_client, id, Err(error)),
@@ -186,7 +203,7 @@
     /// Sends a response to the client without waiting for space in its queue.
     fn send_response(&self, to_client: &ClientSender, id: Value, result: Result<Value, RpcError>) {
         let to_client = to_client.clone();
-        tokio::spawn(async move { to_client.send(jsonrpc::response(&id, &result)).await });
+        tokio::spawn(async move { to_client.send(jsonrpc::response(&id, &result).into()).await });
     }
 
     fn open_calls(&self) -> std::sync::MutexGuard<'_, HashMap<CallKey, Arc<Notify>>> {
@@ -194,11 +211,12 @@
     }
 
     /// Carries out a notification, which is never answered: cancels a call or runs a tool.
-    fn handle_notification(&self, caller: &Caller, method: &str, params: Value) {
+    fn handle_notification(&self, caller: &Caller, method: &str, params: Value, memory: &Arc<Charge>) {
         if method == jsonrpc::CANCELLED {
             self.cancel_call(caller, &params);
         } else if let Ok(tool) = self.relay.tool(method, &params) {
-            self.relay.run_unattended(caller.call(Value::Null, params), tool);
+            let call = caller.call(Value::Null, params);
+            self.relay.run_unattended(ChargedCall { call, memory: Some(memory.clone()) }, tool);
         }
     }
 
@@ -212,11 +230,8 @@
     }
 
     /// Starts a call, whose one final answer is sent to the client.
-    fn start_call(&self, caller: &Caller, id: Value, method: &str, params: Value, to_client: &ClientSender) {
-        let tool = match self.relay.tool(method, &params) {
-            Ok(tool) => tool,
-            Err(error) => return self.send_response(to_client, id, Err(error)),
-        };
+    fn start_call(&self, caller: &Caller, call: ChargedCall, tool: Tool, to_client: &ClientSender) {
+        let id = call.call.id.clone();
         let cancel = Arc::new(Notify::new());
         let key = caller.session.clone().map(|session| (session, id.to_string()));
         if let Some(key) = &key {
@@ -232,7 +247,6 @@
             open_calls.insert(key.clone(), cancel.clone());
         }
         let open_call = OpenCall { front: self.clone(), key };
-        let call = caller.call(id.clone(), params);
         tokio::spawn(open_call.execute(call, tool, cancel, to_client.clone()));
     }
 }
@@ -253,15 +267,15 @@
 
 impl OpenCall {
     /// Runs the call until it is answered or cancelled, and sends the response; stops if the client has left.
-    async fn execute(self, call: Call, tool: Tool, cancel: Arc<Notify>, to_client: ClientSender) {
-        let id = call.id.clone();
-        let result = tokio::select! {
-            result = self.front.relay.run(call, tool, &to_client) => result,
-            () = cancel.notified() => Err(RpcError::Cancelled),
+    async fn execute(self, call: ChargedCall, tool: Tool, cancel: Arc<Notify>, to_client: ClientSender) {
+        let id = call.call.id.clone();
+        let outcome = tokio::select! {
+            outcome = self.front.relay.run(call, tool, &to_client) => outcome,
+            () = cancel.notified() => RpcError::Cancelled.into(),
             () = to_client.closed() => return,
         };
         drop(self);
-        let _ = to_client.send(jsonrpc::response(&id, &result)).await;
+        let _ = to_client.send(outcome.into_response(&id)).await;
     }
 }
 
@@ -275,7 +289,7 @@
 
 /// The body of an answer: the messages to a client, as server-sent events. It ends when the last call that can send any
 /// has ended.
-struct MessageStream(mpsc::Receiver<Value>);
+struct MessageStream(mpsc::Receiver<ClientMessage>);
 
 impl http_body::Body for MessageStream {
     type Data = Bytes;
@@ -285,7 +299,6 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let encode = |message: Value| Ok(Frame::data(Bytes::from(jsonrpc::event(&message))));
-        self.0.poll_recv(cx).map(|message| message.map(encode))
+        self.0.poll_recv(cx).map(|message| message.map(|message| Ok(Frame::data(message.into_event()))))
     }
 }
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -13,6 +13,7 @@
 use crate::protocol::figures::Metric;
 use crate::routing::{Admission, ClassTotals, Input, PoolId, Totals};
 use crate::transport::budget::Budget;
+use crate::transport::memory::Charge;
 
 /// The message that is sent to a server. It is the same for each attempt of a request.
 #[derive(Clone, Debug)]
@@ -27,6 +28,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What the request needs besides its body, until it is forgotten.
+    pub memory: Option<Arc<Charge>>,
 }
 
 impl Payload {
@@ -113,6 +116,10 @@
     pub totals: Totals,
     /// How requests were handled, by the name of their class.
     pub handled: Vec<(String, ClassTotals)>,
+    /// Bytes that are charged to the memory budget.
+    pub charged_memory: u64,
+    /// How many requests were shed while they arrived, to make room for others.
+    pub shed_requests: u64,
 }
 
 impl Counters {
@@ -132,9 +139,15 @@
             ("released_states", released),
             ("late_releases", released_late),
             ("unheard_fetches", released_unheard),
+            ("shed_requests", self.shed_requests),
         ];
         figures.extend(counters.map(|(name, count)| Metric::counter(name, count)));
-        let levels = [("in_progress", open), ("known_instances", known), ("skipped_instances", avoided)];
+        let levels = [
+            ("in_progress", open),
+            ("known_instances", known),
+            ("skipped_instances", avoided),
+            ("charged_memory", self.charged_memory),
+        ];
         figures.extend(levels.map(|(name, level)| Metric::gauge(name, level)));
         figures
     }
@@ -222,7 +235,9 @@
     pub async fn counters(&self) -> Counters {
         let (sender, receiver) = oneshot::channel();
         self.send(Message::GetCounters(sender)).await;
-        receiver.await.unwrap_or_default()
+        let counters = receiver.await.unwrap_or_default();
+        let memory = &self.budget.memory;
+        Counters { charged_memory: memory.used() as u64, shed_requests: memory.shed_count(), ..counters }
     }
 
     /// Waits until no request is open and nothing is left to release, whether or not a client waits for it.
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -186,7 +186,7 @@
                 }
             }
         }
-        Counters { totals: self.core.totals(now), handled }
+        Counters { totals: self.core.totals(now), handled, ..Counters::default() }
     }
 
     /// Updates the peers of a pool to a new generation. The actors of peers that are gone end by themselves, as their
--- a/src/transport/list/discovery.rs
+++ b/src/transport/list/discovery.rs
@@ -1,7 +1,6 @@
 //! Watches discovery for as long as the program runs and passes its lists on to the list's actor.
 
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout_at};
@@ -11,6 +10,7 @@
 use crate::protocol::platform::List;
 use crate::recovery::{ListCall, ListInput, ListOutcome, ListPhase, Pacing};
 use crate::transport::clock::Clock;
+use crate::transport::collect::{CollectError, collect};
 use crate::transport::peer::connector::{PeerClient, TrackedBody};
 
 /// Size limit of a list, in bytes; a larger one is not read.
@@ -38,7 +38,7 @@
     #[error("the request failed: {0}")]
     Call(#[from] hyper_util::client::legacy::Error),
     #[error("the answer's body could not be read to its end")]
-    Body(#[from] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] CollectError<hyper::Error>),
     #[error("the answer's status is {0}")]
     Status(StatusCode),
     #[error("the answer is not a list: {0}")]
@@ -137,7 +137,7 @@
         if response.status() != StatusCode::OK {
             return Err(ListError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await?.to_bytes();
+        let body = collect(response.into_body(), MAX_LIST_BYTES).await?;
         Ok(serde_json::from_slice(&body)?)
     }
 }
--- /dev/null
+++ b/src/transport/memory.rs
@@ -0,0 +1,335 @@
+//! The process's memory budget: charges that are given back when they are dropped, and bytes that carry their charge.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+use super::clock::Clock;
+use crate::limits::memory::{ArrivalId, MemoryLedger, OutOfMemory, Purpose};
+
+/// What a client's connection occupies, without the request on it, in bytes: its task, its buffers for reading and writing,
+/// and its entries in tables.
+pub const CONNECTION_BYTES: usize = 16 * 1024;
+/// What a connection to a server occupies, in bytes.
+pub const PEER_CONNECTION_BYTES: usize = 16 * 1024;
+/// What a request occupies from its head to its end, without its body, in bytes: its state in the core, its tasks and
+/// messages, and the part of an answer that is always buffered.
+pub const REQUEST_BYTES: usize = 20 * 1024;
+
+/// Allocations of this size or more are mapped on their own: the system provides their pages as they are written to, and
+/// gets them back as soon as they are freed.
+pub const MAPPED_FROM_BYTES: usize = 64 * 1024;
+/// The first buffer of a body whose length is not declared, in bytes.
+const UNDECLARED_BODY_BYTES: usize = 16 * 1024;
+
+/// The budget. Its clones share it.
+#[derive(Clone)]
+pub struct MemoryBudget {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    clock: Clock,
+    ledger: Mutex<MemoryLedger>,
+    /// The connections on which requests may be arriving.
+    arrivals: Mutex<HashMap<ArrivalId, Arc<Arrival>>>,
+    next_arrival: AtomicU64,
+    shed_count: AtomicU64,
+    /// Notified when something is given back and buffered answers may grow.
+    answers_may_grow: Notify,
+}
+
+/// What an arriving request shares with the budget, which may shed it.
+#[derive(Default)]
+struct Arrival {
+    body: Mutex<BodyBuffer>,
+    is_shed: AtomicBool,
+    changed: Notify,
+}
+
+/// What has arrived of a body. It is never copied as it grows: a buffer that is freed in favour of a larger one would leave
+/// a gap in the heap.
+#[derive(Default)]
+struct BodyBuffer {
+    data: Vec<u8>,
+}
+
+impl BodyBuffer {
+    /// Returns the capacity that is needed once this many bytes are added, if `expected` bytes are expected in all.
+    fn capacity_with(&self, added: usize, expected: Option<usize>) -> usize {
+        let length = self.data.len() + added;
+        match self.data.capacity() {
+            capacity if length <= capacity => capacity,
+            0 => expected.unwrap_or(UNDECLARED_BODY_BYTES).max(length),
+            capacity => (2 * capacity).max(length),
+        }
+    }
+
+    /// Returns what the buffer occupies with this capacity once this many bytes are added. Of a large buffer the system
+    /// provides only what has been written to.
+    fn occupied_with(&self, added: usize, capacity: usize) -> usize {
+        if capacity < MAPPED_FROM_BYTES {
+            return capacity;
+        }
+        (self.data.len() + added).next_multiple_of(page_size::get())
+    }
+
+    fn append(&mut self, piece: &[u8], capacity: usize) {
+        self.data.reserve_exact(capacity - self.data.len());
+        self.data.extend_from_slice(piece);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl MemoryBudget {
+    /// Creates a budget of this many bytes.
+    pub fn new(capacity: usize, clock: Clock) -> Self {
+        let shared = Shared {
+            clock,
+            ledger: Mutex::new(MemoryLedger::new(capacity)),
+            arrivals: Mutex::default(),
+            next_arrival: AtomicU64::default(),
+            shed_count: AtomicU64::default(),
+            answers_may_grow: Notify::new(),
+        };
+        MemoryBudget { shared: Arc::new(shared) }
+    }
+
+    /// Returns how many bytes may be charged in all.
+    pub fn capacity(&self) -> usize {
+        lock(&self.shared.ledger).capacity()
+    }
+
+    /// Returns how many bytes are charged.
+    pub fn used(&self) -> usize {
+        lock(&self.shared.ledger).used()
+    }
+
+    /// Returns the most that was charged at once since the last call.
+    pub fn take_peak(&self) -> usize {
+        lock(&self.shared.ledger).take_peak()
+    }
+
+    /// Returns true if what connections and requests may still take is nearly used up.
+    pub fn is_short(&self) -> bool {
+        lock(&self.shared.ledger).is_short()
+    }
+
+    /// Returns how many arriving requests have been shed.
+    pub fn shed_count(&self) -> u64 {
+        self.shared.shed_count.load(Ordering::Relaxed)
+    }
+
+    /// Changes the ledger, then tells the arriving requests that it has shed.
+    fn with<T>(
+        &self,
+        change: impl FnOnce(&mut MemoryLedger, crate::interface::Micros, &mut Vec<ArrivalId>) -> T,
+    ) -> T {
+        let mut shed = Vec::new();
+        let mut ledger = lock(&self.shared.ledger);
+        let result = change(&mut ledger, self.shared.clock.now(), &mut shed);
+        let used = ledger.used();
+        drop(ledger);
+        for id in shed {
+            tracing::debug!(target: "birchspur::memory", used, "a request that is arriving makes room for others");
+            self.shared.shed_count.fetch_add(1, Ordering::Relaxed);
+            if let Some(arrival) = lock(&self.shared.arrivals).get(&id) {
+                arrival.shed();
+            }
+        }
+        result
+    }
+
+    /// Charges bytes that are bounded elsewhere.
+    pub fn charge_unconditionally(&self, bytes: usize) -> Charge {
+        self.with(|ledger, now, shed| ledger.charge_unconditionally(now, bytes, shed));
+        Charge { budget: self.clone(), bytes }
+    }
+
+    /// Charges what an accepted request needs.
+    pub fn charge_request(&self, bytes: usize) -> Result<Charge, OutOfMemory> {
+        self.charge(Purpose::Request, bytes)
+    }
+
+    /// Charges a part of an answer.
+    pub fn charge_answer(&self, bytes: usize) -> Result<Charge, OutOfMemory> {
+        self.charge(Purpose::Answer, bytes)
+    }
+
+    fn charge(&self, purpose: Purpose, bytes: usize) -> Result<Charge, OutOfMemory> {
+        self.with(|ledger, now, shed| ledger.charge(now, purpose, bytes, shed))?;
+        Ok(Charge { budget: self.clone(), bytes })
+    }
+
+    /// Returns a future that waits until buffered answers may grow again, from this call on.
+    pub fn answers_may_grow(&self) -> Notified<'_> {
+        self.shared.answers_may_grow.notified()
+    }
+
+    /// Registers a connection on which requests may arrive.
+    pub fn register_arrival(&self) -> ArrivingRequest {
+        let id = ArrivalId(self.shared.next_arrival.fetch_add(1, Ordering::Relaxed));
+        let arrival = Arc::<Arrival>::default();
+        lock(&self.shared.arrivals).insert(id, arrival.clone());
+        ArrivingRequest { budget: self.clone(), id, arrival }
+    }
+
+    fn release(&self, bytes: usize) {
+        if bytes > 0 {
+            let mut ledger = lock(&self.shared.ledger);
+            ledger.release(bytes);
+            let is_short = ledger.is_short();
+            drop(ledger);
+            if !is_short {
+                self.shared.answers_may_grow.notify_waiters();
+            }
+        }
+    }
+}
+
+impl std::fmt::Debug for MemoryBudget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} of {} bytes", self.used(), self.capacity())
+    }
+}
+
+/// Bytes that are charged to the budget until this is dropped.
+#[derive(Debug)]
+pub struct Charge {
+    budget: MemoryBudget,
+    bytes: usize,
+}
+
+impl Charge {
+    /// Charges more or fewer bytes of an accepted request or its answer. On an error nothing changes.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
+        if bytes > self.bytes {
+            let mut more = self.budget.charge_request(bytes - self.bytes)?;
+            more.bytes = 0;
+        } else {
+            self.budget.release(self.bytes - bytes);
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+
+    /// Returns bytes that keep this charge for as long as they exist.
+    pub fn attach(self, data: Vec<u8>) -> Bytes {
+        Bytes::from_owner(ChargedBytes { data, _charge: self })
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.budget.release(self.bytes);
+    }
+}
+
+/// Bytes with their charge.
+struct ChargedBytes {
+    data: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for ChargedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl Arrival {
+    /// Drops what has arrived, and tells those who wait for it.
+    fn shed(&self) {
+        *lock(&self.body) = BodyBuffer::default();
+        self.is_shed.store(true, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+}
+
+/// The request that is arriving on a connection. It may be shed in favour of others.
+pub struct ArrivingRequest {
+    budget: MemoryBudget,
+    id: ArrivalId,
+    arrival: Arc<Arrival>,
+}
+
+impl ArrivingRequest {
+    /// Sets how large the head is that has arrived. If there is no room, the request is shed.
+    pub fn resize_head(&self, bytes: usize) -> Result<(), OutOfMemory> {
+        self.resize(bytes)
+    }
+
+    /// Appends a piece of a body of which `expected` bytes are declared, if its length is. If there is no room, the request
+    /// is shed.
+    pub fn append(&self, piece: &[u8], expected: Option<usize>) -> Result<(), OutOfMemory> {
+        let body = lock(&self.arrival.body);
+        let capacity = body.capacity_with(piece.len(), expected);
+        let occupied = body.occupied_with(piece.len(), capacity);
+        drop(body);
+        self.resize(occupied)?;
+        lock(&self.arrival.body).append(piece, capacity);
+        Ok(())
+    }
+
+    /// Returns how much of the body has arrived.
+    pub fn received_bytes(&self) -> usize {
+        lock(&self.arrival.body).data.len()
+    }
+
+    fn resize(&self, bytes: usize) -> Result<(), OutOfMemory> {
+        if self.is_shed() {
+            return Err(OutOfMemory);
+        }
+        let resized = self.budget.with(|ledger, now, shed| ledger.resize_arrival(now, self.id, bytes, shed));
+        if resized.is_err() {
+            self.clear();
+            self.arrival.shed();
+        }
+        resized
+    }
+
+    /// Returns true if the request has been shed.
+    pub fn is_shed(&self) -> bool {
+        self.arrival.is_shed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the request is shed.
+    pub async fn shed(&self) {
+        let changed = self.arrival.changed.notified();
+        if !self.is_shed() {
+            changed.await;
+        }
+    }
+
+    /// Gives back what has arrived: the request is given up, or nothing of it is needed any more.
+    pub fn clear(&self) {
+        drop(std::mem::take(&mut *lock(&self.arrival.body)));
+        drop(self.end());
+    }
+
+    /// Ends the arrival and returns the body, which is charged for as long as it exists.
+    pub fn take(&self) -> Bytes {
+        let body = std::mem::take(&mut *lock(&self.arrival.body));
+        self.end().attach(body.data)
+    }
+
+    /// Ends the arrival: from now on the request is not shed.
+    fn end(&self) -> Charge {
+        let bytes = lock(&self.budget.shared.ledger).end_arrival(self.id);
+        Charge { budget: self.budget.clone(), bytes }
+    }
+}
+
+impl Drop for ArrivingRequest {
+    fn drop(&mut self) {
+        self.clear();
+        lock(&self.budget.shared.arrivals).remove(&self.id);
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,10 +3,12 @@
 
 pub mod budget;
 pub mod clock;
+pub mod collect;
 pub mod export;
 pub mod front;
 pub mod hub;
 pub mod inherited;
 pub mod list;
+pub mod memory;
 pub mod peer;
 pub mod relay;
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -19,10 +19,9 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream, lookup_host};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use super::idle::{ConnectionBudget, IdleTracker};
+use super::idle::{ConnectionBudget, ConnectionPermit, IdleTracker};
 use crate::protocol::settings::Links;
 use crate::routing::{ConnectionChoice, Evidence};
 
@@ -206,7 +205,7 @@
     /// The last bytes read, by which the end of a head is recognised.
     last_bytes: [u8; 4],
     progress: Arc<Progress>,
-    _permit: OwnedSemaphorePermit,
+    _permit: ConnectionPermit,
 }
 
 impl Connection for PeerConnection {
--- a/src/transport/peer/idle.rs
+++ b/src/transport/peer/idle.rs
@@ -10,11 +10,22 @@
 use futures_util::task::AtomicWaker;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::transport::memory::{Charge, MemoryBudget, PEER_CONNECTION_BYTES};
+
 /// The descriptors that connections to peers may use, over all pools.
 #[derive(Clone, Debug)]
 pub struct ConnectionBudget {
     permits: Arc<Semaphore>,
     idle: Arc<IdleConnections>,
+    /// The budget to which the connections are charged, if there is one.
+    memory: Option<MemoryBudget>,
+}
+
+/// Allows one connection, for as long as this exists.
+#[derive(Debug)]
+pub struct ConnectionPermit {
+    _permit: OwnedSemaphorePermit,
+    _charge: Option<Charge>,
 }
 
 impl ConnectionBudget {
@@ -25,18 +36,28 @@
 
     /// Creates a budget that draws on permits which others may use as well.
     pub fn with_permits(permits: Arc<Semaphore>) -> Self {
-        ConnectionBudget { permits, idle: Arc::default() }
+        ConnectionBudget { permits, idle: Arc::default(), memory: None }
+    }
+
+    /// Returns the budget with its connections charged to this memory budget.
+    pub fn charged_to(self, memory: MemoryBudget) -> Self {
+        ConnectionBudget { memory: Some(memory), ..self }
     }
 
     /// Acquires the permit for a connection. If none is left, closes the connection that has been idle for longest and
-    /// waits for its permit; fails if no connection is idle.
-    pub async fn acquire(&self) -> io::Result<OwnedSemaphorePermit> {
+    /// waits for its permit; fails if no connection is idle. If memory runs short, it closes that connection as well.
+    pub async fn acquire(&self) -> io::Result<ConnectionPermit> {
         let permits = self.permits.clone();
-        match permits.clone().try_acquire_owned() {
-            Ok(permit) => Ok(permit),
-            Err(error) if !self.idle.close_longest_idle() => Err(io::Error::other(error)),
-            Err(_) => permits.acquire_owned().await.map_err(io::Error::other),
+        let permit = match permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(error) if !self.idle.close_longest_idle() => return Err(io::Error::other(error)),
+            Err(_) => permits.acquire_owned().await.map_err(io::Error::other)?,
+        };
+        if self.memory.as_ref().is_some_and(MemoryBudget::is_short) {
+            self.idle.close_longest_idle();
         }
+        let charge = self.memory.as_ref().map(|memory| memory.charge_unconditionally(PEER_CONNECTION_BYTES));
+        Ok(ConnectionPermit { _permit: permit, _charge: charge })
     }
 
     /// Returns the tracker by which a new connection reports when it is idle.
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod connector;
 pub mod idle;
+mod window;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
 use tokio::time::Instant;
 
 use self::connector::{Clients, RequestTracker, TrackedBody, is_unreadable};
+use self::window::{AnswerWindow, MAX_PART_BYTES};
+use super::collect::collect;
 use super::hub::message::{Body, Hub, Message, Part, Payload};
 use crate::interface::*;
 use crate::protocol::platform::{self, MalformedStream, StreamInspector};
@@ -254,6 +257,26 @@
     headers.get(platform::LOAD).and_then(|value| value.to_str().ok()).map(str::to_string)
 }
 
+/// The client has left before it took all of the answer.
+struct ClientGone;
+
+/// Passes bytes of an answer on, as fast as the client takes them.
+async fn send_part(
+    window: &AnswerWindow,
+    parts: &mpsc::Sender<Part>,
+    bytes: &[u8],
+) -> Result<(), ClientGone> {
+    for part in bytes.chunks(MAX_PART_BYTES) {
+        let part = tokio::select! {
+            biased;
+            () = parts.closed() => return Err(ClientGone),
+            part = window.admit(part) => part,
+        };
+        parts.send(Part::Data(part)).await.map_err(|_| ClientGone)?;
+    }
+    Ok(())
+}
+
 impl Peer {
     async fn report(&self, input: Input) {
         self.context.hub.send(Message::Input(input)).await;
@@ -358,12 +381,12 @@
         }
         let (head, body) = response.into_parts();
         let outcome = self.context.dialect.outcome(head.status, &head.headers);
-        let body = http_body_util::Limited::new(body, MAX_REPLY_BYTES).collect();
+        let body = collect(body, MAX_REPLY_BYTES);
         // Except for a read, the head is all that is needed, and the state that is held for the request waits for this
         // outcome.
         let time_limit = if outcome == Outcome::Read { FIRST_EVENT_TIMEOUT } else { REFUSAL_BODY_TIMEOUT };
         let kept_tokens = match tokio::time::timeout(time_limit, body).await {
-            Ok(Ok(body)) => platform::kept_tokens(&body.to_bytes()),
+            Ok(Ok(body)) => platform::kept_tokens(&body),
             Ok(Err(_)) if outcome == Outcome::Read => return AttemptEnd::with_outcome(Outcome::Reset),
             Err(_) if outcome == Outcome::Read => return AttemptEnd::with_outcome(Outcome::Error),
             Ok(Err(_)) | Err(_) => 0,
@@ -385,6 +408,8 @@
         let mut body = response.into_body();
         let (parts, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
         let mut receiver = Some(receiver);
+        let memory = &self.context.hub.budget().memory;
+        let (window, mut buffered) = (AnswerWindow::new(memory.clone()), memory.charge_unconditionally(0));
         let mut inspector = StreamInspector::default();
         // Comments before the first event, which don't begin the stream.
         let mut before_first_event = BytesMut::new();
@@ -428,10 +453,14 @@
                 }
                 part = before_first_event.split().freeze();
             }
+            if buffered.resize(inspector.buffered_bytes() + before_first_event.len()).is_err() {
+                tracing::debug!(target: "birchspur::memory", "gave up an answer: its event takes too much");
+                return AttemptEnd::with_outcome(Outcome::Error);
+            }
             if part.is_empty() {
                 continue;
             }
-            if parts.send(Part::Data(part)).await.is_err() {
+            if send_part(&window, &parts, &part).await.is_err() {
                 return AttemptEnd::with_outcome(Outcome::Cancelled);
             }
             if brings_event {
@@ -449,9 +478,7 @@
             // Only the connection's end marks the end of this answer, so the rest of it may be missing.
             return AttemptEnd::with_outcome(Outcome::Reset);
         }
-        if !rest.is_empty() && parts.send(Part::Data(rest)).await.is_err()
-            || parts.send(Part::End).await.is_err()
-        {
+        if send_part(&window, &parts, &rest).await.is_err() || parts.send(Part::End).await.is_err() {
             return AttemptEnd::with_outcome(Outcome::Cancelled);
         }
         load = inspector.load.or(load);
@@ -502,11 +529,9 @@
         let is_healthy = response.status() == StatusCode::OK || self.context.dialect == Dialect::Tools;
         let outcome = if is_healthy { Outcome::Served } else { Outcome::Error };
         let header = load_header(response.headers());
-        let Ok(body) = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await
-        else {
+        let Ok(body) = collect(response.into_body(), MAX_REPLY_BYTES).await else {
             return (Outcome::Reset, None);
         };
-        let body = body.to_bytes();
         let text = std::str::from_utf8(&body).ok().filter(|text| !text.trim().is_empty());
         let text = text.or(header.as_deref()).unwrap_or("");
         (outcome, platform::report(text, &self.context.fields))
@@ -520,7 +545,7 @@
         let call = async {
             let response =
                 self.context.clients.for_connection(ConnectionChoice::Any).request(message).await.ok()?;
-            http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()
+            collect(response.into_body(), MAX_REPLY_BYTES).await.ok()
         };
         if !matches!(tokio::time::timeout(time_limit, call).await, Ok(Some(_))) {
             tracing::warn!(
@@ -540,7 +565,7 @@
         let response = self.context.clients.for_connection(connection).request(request).await.ok()?;
         let status = response.status();
         // Reading the body to its end returns the connection to the client's pool.
-        let _ = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await;
+        let _ = collect(response.into_body(), MAX_REPLY_BYTES).await;
         Some(status)
     }
 }
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -17,6 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::hub::message::{Body, Hub, Part, Payload, Reply, RequestHandle};
+use super::memory::{Charge, MemoryBudget, REQUEST_BYTES};
 use crate::interface::*;
 use crate::protocol::jsonrpc::{self, Events, Message, RpcError};
 use crate::protocol::platform::{self, MAX_BODY_BYTES};
@@ -75,8 +76,60 @@
     pub unattended: TaskTracker,
 }
 
+/// A call whose parameters are charged to the memory budget.
+pub struct ChargedCall {
+    /// The call.
+    pub call: Call,
+    /// What the calls that came in one message occupy, until all of them are sent to their servers.
+    pub memory: Option<Arc<Charge>>,
+}
+
+/// The result of a call, charged to the memory budget while it exists.
+pub struct CallOutcome {
+    /// The result.
+    pub result: Result<Value, RpcError>,
+    memory: Option<Charge>,
+}
+
+impl From<RpcError> for CallOutcome {
+    fn from(error: RpcError) -> Self {
+        CallOutcome { result: Err(error), memory: None }
+    }
+}
+
+impl CallOutcome {
+    /// Returns the message that tells the client of the result of its call.
+    pub fn into_response(self, id: &Value) -> ClientMessage {
+        ClientMessage { value: jsonrpc::response(id, &self.result), memory: self.memory }
+    }
+}
+
+/// A JSON-RPC message to a client, charged to the memory budget while it exists.
+pub struct ClientMessage {
+    /// The message.
+    pub value: Value,
+    memory: Option<Charge>,
+}
+
+impl From<Value> for ClientMessage {
+    fn from(value: Value) -> Self {
+        ClientMessage { value, memory: None }
+    }
+}
+
+impl ClientMessage {
+    /// Returns the message as a server-sent event.
+    pub fn into_event(self) -> Bytes {
+        let event = jsonrpc::event(&self.value);
+        match self.memory {
+            Some(charge) => charge.attach(event.into_bytes()),
+            None => Bytes::from(event),
+        }
+    }
+}
+
 /// Sends JSON-RPC messages to the client: besides final answers, what relayed calls report before them.
-pub type ClientSender = mpsc::Sender<Value>;
+pub type ClientSender = mpsc::Sender<ClientMessage>;
 
 impl Relay {
     /// Returns the tool that a request calls.
@@ -89,14 +142,14 @@
     }
 
     /// Runs a call to its final answer. Dropping the future cancels the call.
-    pub async fn run(&self, call: Call, tool: Tool, to_client: &ClientSender) -> Result<Value, RpcError> {
+    pub async fn run(&self, call: ChargedCall, tool: Tool, to_client: &ClientSender) -> CallOutcome {
         let nesting = Nesting { depth: 0, effects: CallEffects::of_client_call(tool.has_side_effects) };
         self.clone().relay(call, tool, to_client.clone(), nesting).await
     }
 
     /// Runs a call that nobody waits for, in a task of its own.
-    pub fn run_unattended(&self, call: Call, tool: Tool) {
-        let (to_client, mut discarded) = mpsc::channel(DISCARDED_QUEUE_CAPACITY);
+    pub fn run_unattended(&self, call: ChargedCall, tool: Tool) {
+        let (to_client, mut discarded) = mpsc::channel::<ClientMessage>(DISCARDED_QUEUE_CAPACITY);
         tokio::spawn(async move { while discarded.recv().await.is_some() {} });
         let relay = self.clone();
         self.unattended.spawn(async move { relay.run(call, tool, &to_client).await });
@@ -106,34 +159,43 @@
     /// can't contain itself.
     fn relay(
         self,
-        call: Call,
+        ChargedCall { call, memory: params_memory }: ChargedCall,
         tool: Tool,
         to_client: ClientSender,
         nesting: Nesting,
-    ) -> futures_util::future::BoxFuture<'static, Result<Value, RpcError>> {
+    ) -> futures_util::future::BoxFuture<'static, CallOutcome> {
         Box::pin(async move {
             let time_left = call.time_left.unwrap_or(tool.deadline).min(tool.deadline);
             let expires_at = Instant::now() + Duration::from_micros(time_left);
             let id = format!("{}-{}", self.id_prefix, self.next_number.fetch_add(1, Ordering::Relaxed));
-            let payload = self.payload(&id, jsonrpc::call(&id, &call.params));
-            if payload.body.len() > MAX_BODY_BYTES {
-                return Err(RpcError::Invalid("too large"));
+            let Call { id: client_id, params, session, .. } = call;
+            let message = jsonrpc::call(&id, &params).to_string();
+            drop((params, params_memory));
+            if message.len() > MAX_BODY_BYTES {
+                return RpcError::Invalid("too large").into();
             }
+            let Ok(memory) = self.memory().charge_request(REQUEST_BYTES + message.len()) else {
+                tracing::debug!(target: "birchspur::memory", { request.id = id.as_str() }, "call refused");
+                self.hub.report_refused(self.pool, tool.class);
+                return RpcError::Refused(None).into();
+            };
+            let mut payload = self.payload(&id, message.into());
+            payload.memory = Some(Arc::new(memory));
             let prompt_tokens = payload.body.len() as u64 / CHARACTERS_PER_TOKEN;
-            let request =
-                Request { class: tool.class, session: call.session, prompt_tokens, ..Request::plain() };
+            let request = Request { class: tool.class, session, prompt_tokens, ..Request::plain() };
             let admission = Admission { pool: self.pool, request, time_left };
             match self.hub.submit(admission, payload).await {
-                (Reply::Refused(after), _) => Err(RpcError::Refused(after)),
+                (Reply::Refused(after), _) => RpcError::Refused(after).into(),
                 (Reply::Failed { may_have_run: true, .. }, _) if tool.has_side_effects => {
-                    Err(RpcError::MayHaveRun)
+                    RpcError::MayHaveRun.into()
                 }
-                (Reply::Failed { overdue: true, .. }, _) => Err(RpcError::Deadline),
-                (Reply::Failed { .. } | Reply::IdInUse, _) => Err(RpcError::Failed),
+                (Reply::Failed { overdue: true, .. }, _) => RpcError::Deadline.into(),
+                (Reply::Failed { .. } | Reply::IdInUse, _) => RpcError::Failed.into(),
                 (Reply::Stream(body), request_handle) => {
                     let stream = AnswerStream {
                         relay: self,
-                        call,
+                        client_id,
+                        session,
                         id: id.clone(),
                         request_handle,
                         to_client,
@@ -150,7 +212,7 @@
     }
 
     /// Returns the payload that carries a message to a tool server.
-    fn payload(&self, id: &str, message: Value) -> Payload {
+    fn payload(&self, id: &str, body: Bytes) -> Payload {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(ACCEPT, HeaderValue::from_static("application/json, text/event-stream"));
@@ -158,7 +220,12 @@
             headers.insert(platform::ID, id);
         }
         let (id, path) = (id.to_string(), self.path.to_string());
-        Payload { id, method: Method::POST, path, headers, body: Bytes::from(message.to_string()) }
+        Payload { id, method: Method::POST, path, headers, body, memory: None }
+    }
+
+    /// Returns the memory budget.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.hub.budget().memory
     }
 }
 
@@ -183,25 +250,28 @@
 impl Nesting {
     /// Returns what the caller is told of a failed answer. Calls below this one may still run, so the promise that nothing
     /// took effect is made only if it can be kept.
-    fn report(&self, id: &str, failure: AnswerFailure) -> Result<Value, RpcError> {
+    fn report(&self, id: &str, failure: AnswerFailure) -> CallOutcome {
         let had_no_effect = self.effects.rule_out();
         tracing::debug!(
             target: "birchspur::relay",
             { request.id = id, depth = self.depth, ?failure, had_no_effect },
             "the answer brought no response"
         );
-        Err(match failure {
+        let error = match failure {
             _ if !had_no_effect => RpcError::MayHaveRun,
             AnswerFailure::Broken => RpcError::Failed,
             AnswerFailure::Late => RpcError::Deadline,
-        })
+        };
+        error.into()
     }
 }
 
 /// The answer of one call, while it is read.
 struct AnswerStream {
     relay: Relay,
-    call: Call,
+    /// The client's id for the call.
+    client_id: Value,
+    session: Option<SessionKey>,
     id: String,
     request_handle: RequestHandle,
     to_client: ClientSender,
@@ -212,14 +282,14 @@
 /// The nested calls that a server has made in its answer.
 #[derive(Default)]
 struct NestedCalls {
-    open: JoinSet<(Value, Result<Value, RpcError>)>,
+    open: JoinSet<(Value, CallOutcome)>,
     /// The ids of all nested calls so far, as text. A call whose id is repeated in the answer must not run again.
     seen_ids: HashSet<String>,
 }
 
 impl AnswerStream {
     /// Follows the answer up to the call's response. Nested calls run to their own end in any case.
-    async fn follow(self, body: Body) -> Result<Result<Value, RpcError>, AnswerFailure> {
+    async fn follow(self, body: Body) -> Result<CallOutcome, AnswerFailure> {
         let mut nested = NestedCalls::default();
         let result = self.read(body, &mut nested).await;
         if !nested.open.is_empty() {
@@ -230,17 +300,19 @@
 
     /// Reads the answer up to the call's response, and starts the nested calls in it. Returns `None` if the answer ends
     /// or can't be read before the response.
-    async fn read(&self, mut body: Body, nested: &mut NestedCalls) -> Option<Result<Value, RpcError>> {
+    async fn read(&self, mut body: Body, nested: &mut NestedCalls) -> Option<CallOutcome> {
         let is_event_stream = body
             .content_type
             .as_ref()
             .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
         let (mut event_reader, mut buffer) = (Events::default(), Vec::new());
+        let mut buffered = self.relay.memory().charge_unconditionally(0);
         loop {
+            buffered.resize(event_reader.buffered_bytes() + buffer.capacity()).ok()?;
             let part = tokio::select! {
                 part = body.parts.recv() => part?,
-                Some(Ok((id, result))) = nested.open.join_next() => {
-                    self.return_result(id, result).await;
+                Some(Ok((id, outcome))) = nested.open.join_next() => {
+                    self.return_result(id, outcome).await;
                     continue;
                 }
             };
@@ -260,33 +332,45 @@
         }
     }
 
-    /// Handles one message of the server; returns the call's result if the message is its response.
-    async fn handle_message(&self, nested: &mut NestedCalls, text: &str) -> Option<Result<Value, RpcError>> {
+    /// Handles one message of the server; returns the call's result if the message is its response, or if the message
+    /// can't be read.
+    async fn handle_message(&self, nested: &mut NestedCalls, text: &str) -> Option<CallOutcome> {
+        let memory = self.relay.memory().charge_request(jsonrpc::parsed_size_bound(text.as_bytes())).ok()?;
         match jsonrpc::message(serde_json::from_str(text).ok()?).ok()? {
-            Message::Response { id, result } if id == self.id.as_str() => return Some(result),
+            Message::Response { id, result } if id == self.id.as_str() => {
+                return Some(CallOutcome { result, memory: Some(memory) });
+            }
             // A response to any other id is ignored.
             Message::Response { .. } => {}
             Message::Request { id: Some(id), method, params } => {
-                self.relay_nested(nested, id, &method, params).await;
+                self.relay_nested(nested, id, &method, (params, memory)).await;
             }
             Message::Request { id: None, method, params } => {
-                let _ = self.to_client.send(jsonrpc::notification(&method, &params)).await;
+                let value = jsonrpc::notification(&method, &params);
+                let _ = self.to_client.send(ClientMessage { value, memory: Some(memory) }).await;
             }
         }
         None
     }
 
     /// Relays a nested call of the server as a request of its own.
-    async fn relay_nested(&self, nested: &mut NestedCalls, id: Value, method: &str, params: Value) {
+    async fn relay_nested(
+        &self,
+        nested: &mut NestedCalls,
+        id: Value,
+        method: &str,
+        (params, memory): (Value, Charge),
+    ) {
         if !nested.seen_ids.insert(id.to_string()) {
             return;
         }
         let (tool, nesting) = match self.admit_nested(method, &params) {
             Ok(admitted) => admitted,
-            Err(error) => return self.return_result(id, Err(error)).await,
+            Err(error) => return self.return_result(id, error.into()).await,
         };
         let time_left = self.expires_at.saturating_duration_since(Instant::now()).as_micros() as Micros;
-        let call = Call { id: id.clone(), params, session: self.call.session, time_left: Some(time_left) };
+        let call = Call { id: id.clone(), params, session: self.session, time_left: Some(time_left) };
+        let call = ChargedCall { call, memory: Some(Arc::new(memory)) };
         let relayed = self.relay.clone().relay(call, tool, self.to_client.clone(), nesting);
         nested.open.spawn(async move { (id, relayed.await) });
     }
@@ -315,10 +399,12 @@
     }
 
     /// Returns a nested call's result to the server under the server's own id, and reports it on the client's stream.
-    async fn return_result(&self, nested_id: Value, result: Result<Value, RpcError>) {
-        let message = jsonrpc::response(&nested_id, &result);
-        self.relay.hub.post_to_owner(&self.request_handle, self.relay.payload(&self.id, message)).await;
-        let _ = self.to_client.send(jsonrpc::tool_result(&self.call.id, &nested_id, &result)).await;
+    async fn return_result(&self, nested_id: Value, outcome: CallOutcome) {
+        let message = jsonrpc::response(&nested_id, &outcome.result).to_string().into_bytes();
+        let body = self.relay.memory().charge_unconditionally(message.len()).attach(message);
+        self.relay.hub.post_to_owner(&self.request_handle, self.relay.payload(&self.id, body)).await;
+        let value = jsonrpc::tool_result(&self.client_id, &nested_id, &outcome.result);
+        let _ = self.to_client.send(ClientMessage { value, memory: outcome.memory }).await;
     }
 
     /// Runs the nested calls to their end after the call itself is answered, unless the client leaves.
@@ -327,7 +413,7 @@
             tokio::select! {
                 () = self.to_client.closed() => return,
                 joined = nested.open.join_next() => match joined {
-                    Some(Ok((id, result))) => self.return_result(id, result).await,
+                    Some(Ok((id, outcome))) => self.return_result(id, outcome).await,
                     Some(Err(_)) => {}
                     None => return,
                 },
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -9,7 +9,7 @@
 
 use milletseam::interface::*;
 use milletseam::membership::{Cause, Generation, Member};
-use milletseam::protocol::config::Config;
+use milletseam::protocol::config::{Config, MachineLimits};
 use milletseam::recovery;
 use milletseam::routing::{Admission, Core};
 use milletseam::transport::budget::Budget;
@@ -271,7 +271,8 @@
         let (links, clock) = (links.expect("settings"), Clock::start());
         let mut core = Core::default();
         let pool = core.add_pool(settings, 7, clock.now()).expect("settings");
-        let budget = Budget::new(256, recovery::Socket::Own, clock);
+        let limits = MachineLimits { sockets: 256, memory_mb: 192.0 };
+        let budget = Budget::new(limits, recovery::Socket::Own, clock);
         let clients = connector::Clients::new(links, &budget.peers);
         let (mut actor, hub) = hub::new(core, clock, budget);
         let names = config.settings.clone().names();
@@ -301,6 +302,7 @@
                 path: head.split(' ').nth(1).expect("a path").to_string(),
                 headers: headers.into_iter().collect(),
                 body: "{}".into(),
+                memory: None,
             };
             let request = Request { id: RequestId([number; 36]), prompt_tokens: 800, ..Request::plain() };
             let admission = Admission { pool, request, time_left: 4_000_000 };
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -231,7 +231,8 @@
             let text = platform_request(&format!("f{number}"), "ask", 5000, "{}");
             let text = text.replacen("\r\n", &format!("\r\n{fields}"), 1);
             // One in two stops just before the end of its head.
-            let sent = if number % 2 == 0 { text.len() } else { text.find("\r\n\r\n").expect("a head") };
+            let sent =
+                if number.is_multiple_of(2) { text.len() } else { text.find("\r\n\r\n").expect("a head") };
             Sending { sent, text, piece: 1_400, pause: Duration::from_millis(20) }
         });
         send_all(&site.process.front, requests.collect()).await;
@@ -276,7 +277,7 @@
     stream.read_exact(&mut status).await.expect("an answer");
     for _ in 0..6 {
         sleep(Duration::from_secs(1)).await;
-        if number % 3 > 0 {
+        if !number.is_multiple_of(3) {
             let _ = stream.read(&mut [0; 1000]).await;
         }
     }
@@ -338,3 +339,30 @@
         site.serves("after").await;
     });
 }
+
+/// Failure: a limit that is too small to run with is found out only when the process is killed.
+#[test]
+fn memory_limit_that_is_too_small_is_refused_with_what_is_needed() {
+    let folder = Folder::new("too-small");
+    let mut config = config("", &[]);
+    config["limits"]["memory_mb"] = json!(12);
+    let path = folder.write("config.json", &config.to_string());
+    let check = |arguments: &[&str]| {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_birchspur"))
+            .arg("check")
+            .args(arguments)
+            .env_remove("LB_CONFIG")
+            .output()
+            .expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let (status, error) = check(&["--config", &path]);
+    assert_eq!(status, Some(1));
+    assert!(error.contains("at least 24 are needed ('limits.memory_mb')"), "{error}");
+    let operator = folder.write("operator.kdl", "log form=\"text\"\nmemory limit=\"12MB\"\n");
+    let (status, error) = check(&["--operator", &operator]);
+    assert_eq!(status, Some(1));
+    assert!(error.contains("operator.kdl:2:") && error.contains("at least 24MB are needed"), "{error}");
+    let operator = folder.write("operator.kdl", "memory limit=\"64MB\"\n");
+    assert_eq!(check(&["--operator", &operator]).0, Some(0));
+}
