--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,142 @@
+//! Tests of the ends of streams, on a real process: a server that writes is not cut off, and a client is never left waiting
+//! for 5 s after the last event of its stream, whatever else the server writes.
+
+mod peers;
+
+use std::time::Duration;
+
+use peers::process::Process;
+use peers::*;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A client is left waiting if its stream does not end within this time after the last event.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// Longer than any case takes.
+const CASE_TIME: Duration = Duration::from_secs(18);
+/// The events that each stream begins with.
+const GOOD_EVENTS: &str = "data: 1\n\ndata: 2\n\ndata: 3\n\n";
+
+/// What a server goes on to write after its good events.
+#[derive(Clone, Copy, Debug)]
+struct Continuation {
+    /// Written once, together with the good events.
+    first: &'static str,
+    /// Written again and again, for as long as the process reads.
+    then: &'static str,
+    pause: Duration,
+}
+
+/// Makes the writer answer a client's request with good events and then this. Returns how long after the last of them
+/// the client's stream ended, and all that the client got.
+async fn play(process: &Process, mut seen: Seen, mut client: Wire, case: Continuation) -> (Duration, String) {
+    seen.begin().await;
+    let good = format!("{:x}\r\n{GOOD_EVENTS}\r\n", GOOD_EVENTS.len());
+    seen.wire.write(&format!("{good}{}", case.first)).await;
+    let mut got = client.until("data: 3\n\n").await.expect("the good events");
+    let last_event = Instant::now();
+    let write = async {
+        while seen.wire.takes(case.then).await {
+            sleep(case.pause).await;
+        }
+    };
+    let read = async {
+        let rest = client.rest().await;
+        (last_event.elapsed(), rest)
+    };
+    let (ended, rest) = timeout(CASE_TIME, async {
+        tokio::select! {
+            ended = read => ended,
+            () = async { write.await; std::future::pending().await } => unreachable!(),
+        }
+    })
+    .await
+    .unwrap_or_else(|_| panic!("{case:?}: the client is left waiting (process {})", process.id()));
+    got.push_str(&rest);
+    (ended, got)
+}
+
+/// A process before one reader and one writer.
+async fn start(name: &str) -> (Peer, Peer, Process) {
+    let (reader, writer) = (Peer::start().await, Peer::start().await);
+    let servers = [member("s-r", &reader.address, "reader"), member("s-w", &writer.address, "writer")];
+    let process = Process::start(name, config(&telling_once(&servers).await, &servers), &[]).await;
+    (reader, writer, process)
+}
+
+/// Sends a request and returns its client with what the writer has been sent.
+async fn ask(process: &Process, reader: &mut Peer, writer: &mut Peer, id: &str) -> (Wire, Seen) {
+    let mut client = Wire::connect(&process.front).await;
+    client.write(&platform_request(id, "book", 14_000, "{}")).await;
+    reader.reads().await;
+    (client, writer.next().await)
+}
+
+/// Failure: bytes that move the stream on no further keep its client waiting for ever.
+#[test]
+fn stream_that_is_spoilt_or_only_seems_to_go_on_ends_in_time() {
+    story_within(Duration::from_secs(40), async {
+        let (mut reader, mut writer, process) = start("spoilt").await;
+        let process = std::sync::Arc::new(process);
+        let (half_second, drip) = (Duration::from_millis(500), Duration::from_millis(20));
+        let mut cases = JoinSet::new();
+        for (number, (first, then, pause)) in [
+            ("c0000000\r\n", "data: more\n\n", half_second),
+            ("ffffffffffffffff\r\n", "data: more\n\n", half_second),
+            ("200000\r\n", "data: more\n\n", half_second),
+            ("e\r\ndata: [DONE]\n\n\r\n", "c\r\ndata: more\n\n\r\n", half_second),
+            ("", "7\r\ndata:\n\n\r\n", half_second),
+            ("", "a\r\n: comment\n\r\n", half_second),
+            ("", "8\r\ndata: x\n\r\n", drip),
+            ("fff\r\n: ", "x", drip),
+            ("", "0", drip),
+            ("", "8;x=", Duration::from_secs(60)),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let (client, seen) = ask(&process, &mut reader, &mut writer, &format!("c{number}")).await;
+            let process = process.clone();
+            let case = Continuation { first, then, pause };
+            cases.spawn(async move { (case, play(&process, seen, client, case).await) });
+        }
+        for (case, (ended, got)) in cases.join_all().await {
+            assert!(ended < MAX_WAIT, "{case:?}: the client waited for {ended:?}");
+            assert!(!got.ends_with("0\r\n\r\n"), "{case:?}: the stream is called whole: {got}");
+        }
+    });
+}
+
+/// Failure: an answer is cut off while its server writes it, slowly.
+#[test]
+fn stream_whose_server_writes_slowly_is_passed_on_whole() {
+    story_within(Duration::from_secs(40), async {
+        let (mut reader, mut writer, process) = start("slow").await;
+        let long_event = format!("data: {}\n\n", "z".repeat(892));
+        let chunk = format!("{:x}\r\n{long_event}\r\n", long_event.len());
+        let mut cases = JoinSet::new();
+        for begins_slowly in [false, true] {
+            let (mut client, mut seen) =
+                ask(&process, &mut reader, &mut writer, &format!("c{begins_slowly}")).await;
+            let (chunk, long_event) = (chunk.clone(), long_event.clone());
+            cases.spawn(async move {
+                seen.begin().await;
+                if !begins_slowly {
+                    seen.chunk(GOOD_EVENTS).await;
+                }
+                for byte in chunk.chars() {
+                    assert!(seen.wire.takes(&byte.to_string()).await, "it is cut off");
+                    sleep(Duration::from_millis(7)).await;
+                }
+                for _ in 0..2 {
+                    seen.chunk("data: on\n\n").await;
+                    sleep(Duration::from_millis(3_500)).await;
+                }
+                seen.end().await;
+                let got = client.until("\r\n0\r\n\r\n").await.expect("a whole stream");
+                assert!(got.contains(&long_event) && got.matches("data: on\n\n").count() == 2);
+            });
+        }
+        cases.join_all().await;
+    });
+}
