Ids: what may have run and must not run twice does not run again

Cause: the hub knew the ids of open requests only, and forgot an id as soon as its client had left and its last attempt had ended; the two processes of a replacement shared no ids at all. Class: a promise that outlives the state which it was kept in.

Change: when a request that may have run is forgotten, the core says from when on it must not run again: at once for what may not be repeated, at the end of their window for classes that servers recognise (Output::BlockId, by the rule that holds for repeats). recovery::UsedIds remembers that for 300 s, longer than any client waits and any replacement takes, and at most 16,384 ids, charged to the memory budget; beyond that the oldest is forgotten, with a warning. Such an id gets 409, which promises nothing about a repeat, as an id that is open does. Where the listening socket is inherited, ids that must not run twice are claimed by creating a file in the folder for temporary files, which both processes share; only one can create it. It goes when the request has ended without having run, or after 300 s; claims that a killed process has left are swept. A folder that fails is logged once, and each process then knows its own ids. What may be repeated, and what never ran, is served as before.

Open: two processes without an inherited socket, or without a common folder, cannot know each other's ids; classes whose repeats servers recognise are not claimed across processes; on the JSON-RPC front an id may come again within its session once its call is no longer open, as README says.

Seen red before: the id went to a reader again, at the same and at the new process. Tests with an inherited socket have a folder for temporary files of their own.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -399,6 +399,7 @@
                 | CoreOutput::Log(_)
                 | CoreOutput::Ejected(..)
                 | CoreOutput::HeldTooLong { .. }
+                | CoreOutput::BlockId(..)
                 | CoreOutput::Forget(_) => {}
             }
         }
--- a/src/expect/world.rs
+++ b/src/expect/world.rs
@@ -375,7 +375,11 @@
                 }
             }
             Output::HoldPlace(..) | Output::CloseIdle(..) => {}
-            Output::Log(_) | Output::Ejected(..) | Output::HeldTooLong { .. } | Output::Forget(_) => {}
+            Output::Log(_)
+            | Output::Ejected(..)
+            | Output::HeldTooLong { .. }
+            | Output::BlockId(..)
+            | Output::Forget(_) => {}
             Output::Explain(choice) => {
                 if let Some(trace) = self.trace(choice.request) {
                     trace.choices.push((since_start, *choice));
--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -22,6 +22,7 @@
 use crate::recovery::{Input, Phase, Socket, earliest_kill};
 use crate::routing::Core;
 use crate::transport::budget::Budget;
+use crate::transport::claims::ClaimFolder;
 use crate::transport::clock::Clock;
 use crate::transport::export;
 use crate::transport::front::connection::Connections;
@@ -161,7 +162,10 @@
             PeerContext { pool, hub: hub.clone(), clients, links, dialect: Dialect::Platform, fields };
         actor.add_pool(peer_context, names.classes.clone());
         let listener = match accept {
-            Some(accept) => Listener::adopt(accept, budget.fronts.clone())?,
+            Some(accept) => {
+                share_ids(&mut actor, &accept)?;
+                Listener::adopt(accept, budget.fronts.clone())?
+            }
             None => listen(&config.listen, &budget).await?,
         };
         let admin = match config.admin.filter(|address| !address.is_empty()) {
@@ -306,6 +310,18 @@
     }
 }
 
+/// Shares ids with the other processes at this listening socket. A folder that can't be used is not an error: then each
+/// process knows its own ids.
+fn share_ids(actor: &mut hub::Actor, socket: &std::net::TcpListener) -> io::Result<()> {
+    match ClaimFolder::open(&socket.local_addr()?.to_string()) {
+        Ok(claims) => actor.share_ids(claims),
+        Err(error) => {
+            tracing::warn!(%error, "ids are not shared with the other process of a replacement");
+        }
+    }
+    Ok(())
+}
+
 /// Opens a listener for clients.
 async fn listen(address: &str, budget: &Budget) -> Result<Listener, ProgramError> {
     let listener = Listener::bind(address, budget.fronts.clone()).await;
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -1,5 +1,5 @@
 //! Taking the process out of service and back, its shutdown, the pacing of calls to discovery, the release of what
-//! servers hold for a request, whether a server's answer goes on, and what a tool call that broke off may have done. These
+//! servers hold for a request, whether a server's answer goes on, which ids must not run again, and what a tool call that broke off may have done. These
 //! are state machines without I/O and without a clock: they are given events and the time, and return what has to be done.
 
 mod answer;
@@ -8,6 +8,7 @@
 mod held;
 mod pacing;
 mod release;
+mod used_ids;
 
 pub use answer::{AnswerProgress, Arrived};
 pub use drain::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket, earliest_kill};
@@ -17,3 +18,4 @@
     Call as ListCall, CallOutcome as ListOutcome, Input as ListInput, Pacing, Phase as ListPhase, Times,
 };
 pub use release::Release;
+pub use used_ids::{ID_BYTES, IdDigest, MAX_IDS, REMEMBERED_FOR, UsedIds};
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -66,6 +66,11 @@
         self.pools.get(usize::from(pool.0)).map_or(&[], |pool| &pool.class_totals)
     }
 
+    /// Returns the settings of a class.
+    pub fn class(&self, pool: PoolId, class: ClassId) -> Option<&Class> {
+        self.pools.get(usize::from(pool.0))?.settings.classes.get(usize::from(class.0))
+    }
+
     fn count_end(&mut self, pool: PoolId, class: ClassId, end: RequestEnd) {
         let class_totals = self.pools.get_mut(usize::from(pool.0));
         // A request of a class that does not exist fails, and is counted for no class.
@@ -243,7 +248,11 @@
     /// Forgets a request once its answer is given and its last attempt has ended.
     pub(super) fn forget(&mut self, id: RequestId, outputs: &mut Vec<Output>) {
         if self.requests.get(&id).is_some_and(|open| open.settled && open.nothing_pending()) {
-            self.requests.remove(&id);
+            let open = self.requests.remove(&id);
+            let blocked_from = open.and_then(|open| {
+                self.class(open.pool, open.class).and_then(|class| open.attempts.repeats_until(class))
+            });
+            outputs.extend(blocked_from.map(|from| Output::BlockId(id, from)));
             outputs.push(Output::Forget(id));
         }
     }
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -164,6 +164,8 @@
     Ejected(PoolId, ServerId),
     /// The candidates of a choice; only for pools that are observed.
     Explain(Box<Choice>),
+    /// The request may have run. From this time on it must not run again under its id.
+    BlockId(RequestId, Micros),
     /// Drop the request: no more outputs follow for it.
     Forget(RequestId),
 }
--- /dev/null
+++ b/src/transport/hub/ids.rs
@@ -0,0 +1,112 @@
+//! The ids of requests: which are open, and which must not run again.
+
+use std::collections::HashSet;
+
+use crate::interface::Micros;
+use crate::protocol::settings::digest;
+use crate::recovery::{ID_BYTES, IdDigest, UsedIds};
+use crate::transport::claims::{Claim, ClaimFolder};
+use crate::transport::memory::{Charge, MemoryBudget};
+
+/// Whether a request may run again under its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Repeats {
+    /// It may, or nobody else knows the id.
+    Allowed,
+    /// It must not, at this process or at another that shares the listening socket.
+    Forbidden,
+}
+
+/// Another request has this id, or may have run under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct IdInUse;
+
+/// The ids that the hub knows.
+pub(super) struct RequestIds {
+    open: HashSet<String>,
+    used: UsedIds,
+    /// What the used ids occupy.
+    charge: Charge,
+    /// Shared with the other process of a replacement.
+    claims: Option<ClaimFolder>,
+    /// The folder of the claims could not be used, and this has been logged.
+    is_unavailable: bool,
+}
+
+impl RequestIds {
+    pub(super) fn new(memory: &MemoryBudget) -> Self {
+        RequestIds {
+            open: HashSet::new(),
+            used: UsedIds::default(),
+            charge: memory.charge_unconditionally(0),
+            claims: None,
+            is_unavailable: false,
+        }
+    }
+
+    /// Claims ids in this folder from now on.
+    pub(super) fn share(&mut self, claims: ClaimFolder) {
+        self.claims = Some(claims);
+    }
+
+    /// Opens a request under its id.
+    pub(super) fn open(&mut self, now: Micros, id: &str, repeats: Repeats) -> Result<(), IdInUse> {
+        self.expire(now);
+        let id_digest = IdDigest(digest(id));
+        if self.open.contains(id) || self.used.is_blocked(now, id_digest) {
+            return Err(IdInUse);
+        }
+        if repeats == Repeats::Forbidden {
+            self.claim(now, id_digest)?;
+        }
+        self.open.insert(id.to_string());
+        Ok(())
+    }
+
+    fn claim(&mut self, now: Micros, id: IdDigest) -> Result<(), IdInUse> {
+        let Some(claims) = &mut self.claims else { return Ok(()) };
+        claims.sweep(now);
+        match claims.claim(id) {
+            Claim::Granted => Ok(()),
+            Claim::Taken => Err(IdInUse),
+            // The id is still known to this process; a folder that fails must not keep clients from being served.
+            Claim::Unavailable(error) => {
+                if !std::mem::replace(&mut self.is_unavailable, true) {
+                    tracing::warn!(%error, "ids are not shared with the other process of a replacement");
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Remembers that the open request with this id may have run, and must not run again from `blocked_from` on.
+    pub(super) fn remember(&mut self, now: Micros, id: &str, blocked_from: Micros) {
+        let forgotten = self.used.remember(now, IdDigest(digest(id)), blocked_from);
+        self.release_claims(forgotten);
+        while self.charge.resize(self.used.len() * ID_BYTES).is_err() {
+            let forgotten = self.used.forget_oldest();
+            tracing::warn!(target: "birchspur::memory", "an id that must not run again is forgotten early");
+            self.release_claims(forgotten);
+        }
+    }
+
+    /// Closes the request with this id. Unless it is remembered, the id may be used again.
+    pub(super) fn close(&mut self, id: &str) {
+        self.open.remove(id);
+        let id_digest = IdDigest(digest(id));
+        if !self.used.is_blocked(Micros::MAX, id_digest) {
+            self.release_claims([id_digest]);
+        }
+    }
+
+    fn expire(&mut self, now: Micros) {
+        let expired = self.used.expire(now);
+        self.release_claims(expired);
+    }
+
+    fn release_claims(&self, ids: impl IntoIterator<Item = IdDigest>) {
+        if let Some(claims) = &self.claims {
+            ids.into_iter().for_each(|id| claims.release(id));
+        }
+    }
+}
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -1,21 +1,24 @@
 //! The hub: the actor that owns the core. It alone feeds the core, reads the clock once for each batch of messages, and
 //! carries out the core's outputs.
 
+mod ids;
 pub mod message;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
+use self::ids::{IdInUse, Repeats, RequestIds};
 use self::message::{Body, Counters, Hub, Message, Payload, Reply};
 use super::budget::Budget;
+use super::claims::ClaimFolder;
 use super::clock::{self, Clock};
-use super::peer::{self, Attempt, PeerContext, PeerMessage};
+use super::peer::{self, Attempt, Dialect, PeerContext, PeerMessage};
 use crate::interface::*;
 use crate::membership::Generation;
-use crate::routing::{ClassTotals, Core, Input, Output, PoolId};
+use crate::routing::{Admission, ClassTotals, Core, Input, Output, PoolId};
 
 /// Capacity of the hub's inbox, in messages.
 const MAILBOX_CAPACITY: usize = 4096;
@@ -72,7 +75,7 @@
     clock: Clock,
     pools: Vec<Pool>,
     requests: HashMap<RequestId, OpenRequest>,
-    open_ids: HashSet<String>,
+    ids: RequestIds,
     /// Those who wait until no request is open.
     idle_waiters: Vec<oneshot::Sender<()>>,
     inbox: mpsc::Receiver<Message>,
@@ -81,13 +84,14 @@
 /// Creates the actor and a handle to it.
 pub fn new(core: Core, clock: Clock, budget: Budget) -> (Actor, Hub) {
     let (sender, inbox) = mpsc::channel(MAILBOX_CAPACITY);
+    let ids = RequestIds::new(&budget.memory);
     let hub = Hub::new(sender, budget);
     let actor = Actor {
         core,
         clock,
         pools: Vec::new(),
         requests: HashMap::new(),
-        open_ids: HashSet::new(),
+        ids,
         idle_waiters: Vec::new(),
         inbox,
     };
@@ -128,16 +132,34 @@
         }
     }
 
+    /// Shares the ids that must not run twice with the other processes at the same listening socket.
+    pub fn share_ids(&mut self, claims: ClaimFolder) {
+        self.ids.share(claims);
+    }
+
+    /// Returns whether a request may run again under its id. The ids of tool calls are this process's own.
+    fn repeats(&self, admission: &Admission) -> Repeats {
+        let pool = self.pools.get(usize::from(admission.pool.0));
+        let has_clients_id = pool.is_some_and(|pool| pool.context.dialect == Dialect::Platform);
+        let class = self.core.class(admission.pool, admission.request.class);
+        match class.is_some_and(|class| class.effect == Effect::Unsafe) && has_clients_id {
+            true => Repeats::Forbidden,
+            false => Repeats::Allowed,
+        }
+    }
+
     /// Handles a message, and collects what the core wants done upon it.
     fn handle_message(&mut self, now: Micros, message: Message, outputs: &mut Vec<Output>) {
         match message {
-            Message::Request(_, payload, reply) if self.open_ids.contains(&payload.id) => {
-                let _ = reply.send(Reply::IdInUse);
-            }
             // The client left while the request waited in the inbox, so the core never sees the request.
             Message::Request(_, _, reply) if reply.is_closed() => {}
             Message::Request(admission, payload, reply) => {
-                self.open_ids.insert(payload.id.clone());
+                let repeats = self.repeats(&admission);
+                if let Err(IdInUse) = self.ids.open(now, &payload.id, repeats) {
+                    tracing::debug!(target: "birchspur::attempt", { request.id = payload.id.as_str() }, "id in use");
+                    let _ = reply.send(Reply::IdInUse);
+                    return;
+                }
                 let open = OpenRequest {
                     payload,
                     reply: Some(reply),
@@ -303,9 +325,14 @@
                     "a read state was held for too long; the server that was to fetch or release it hangs or can't be reached"
                 );
             }
+            Output::BlockId(request, from) => {
+                if let Some(open) = self.requests.get(&request) {
+                    self.ids.remember(self.clock.now(), &open.payload.id, from);
+                }
+            }
             Output::Forget(request) => {
                 if let Some(open) = self.requests.remove(&request) {
-                    self.open_ids.remove(&open.payload.id);
+                    self.ids.close(&open.payload.id);
                 }
             }
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! peer and for each list of servers.
 
 pub mod budget;
+pub mod claims;
 pub mod clock;
 pub mod collect;
 pub mod export;
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -15,6 +15,8 @@
         .args(["-c", "exec \"$0\" 7<&0 0</dev/null", env!("CARGO_BIN_EXE_birchspur")])
         .env("LB_CONFIG", config)
         .env("LB_ACCEPT_FD", accept_fd)
+        // The folder of the test, which the processes of a replacement share.
+        .env("TMPDIR", std::path::Path::new(config).parent().expect("a folder"))
         .stdin(descriptor)
         .stderr(Stdio::piped())
         .kill_on_drop(true)
--- a/tests/ids.rs
+++ b/tests/ids.rs
@@ -7,6 +7,8 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use milletseam::recovery::{IdDigest, REMEMBERED_FOR};
+use milletseam::transport::claims::{Claim, ClaimFolder};
 use peers::process::Process;
 use peers::*;
 use serde_json::json;
@@ -265,3 +267,24 @@
         drop(writer);
     });
 }
+
+/// Failure: two processes claim one id, or the claims of a killed process stay for ever.
+#[test]
+fn claim_is_granted_once_until_it_is_released_or_too_old() {
+    let socket = format!("test-{}", std::process::id());
+    let mut first = ClaimFolder::open(&socket).expect("a folder");
+    let mut second = ClaimFolder::open(&socket).expect("the same folder");
+    let id = IdDigest(7);
+    assert!(matches!(first.claim(id), Claim::Granted));
+    assert!(matches!(second.claim(id), Claim::Taken));
+    second.sweep(0);
+    second.sweep(REMEMBERED_FOR);
+    assert!(matches!(second.claim(id), Claim::Taken));
+    second.sweep(3 * REMEMBERED_FOR);
+    assert!(matches!(second.claim(id), Claim::Granted));
+    second.release(id);
+    first.sweep(0);
+    assert!(matches!(first.claim(id), Claim::Granted));
+    std::fs::remove_dir_all(std::env::temp_dir().join(format!("birchspur-ids-{socket}"))).expect("a folder");
+    assert!(matches!(first.claim(id), Claim::Unavailable(_)));
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -67,7 +67,7 @@
             .kill_on_drop(true);
         let kept_socket = inherited.map(|(descriptor, _)| {
             let duplicate = descriptor.try_clone().expect("a descriptor");
-            command.stdin(duplicate).env("LB_ACCEPT_FD", "7");
+            command.stdin(duplicate).env("LB_ACCEPT_FD", "7").env("TMPDIR", &folder.0);
             descriptor
         });
         let child = command.spawn().expect("it starts");
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -89,6 +89,8 @@
     sent: Vec<Sent>,
     answered: Option<Micros>,
     begun: bool,
+    /// Its id must not run again from some time on.
+    blocked: bool,
     /// Something is held, and the last moment from which its time counts.
     held: Option<Micros>,
 }
@@ -307,9 +309,13 @@
                 | Output::Explain(_)
                 | Output::Ejected(..)
                 | Output::HeldTooLong { .. } => {}
+                Output::BlockId(id, _) => self.truth.get_mut(&id).expect("known").blocked = true,
                 Output::Forget(id) => {
                     let truth = &self.truth[&id];
                     assert!(truth.sent.iter().all(|sent| sent.ended.is_some()), "forgotten too early");
+                    let is_unsafe = EFFECTS[self.site.effects[truth.class]] == Effect::Unsafe;
+                    let may_have_run = truth.sent.iter().any(Sent::may_have_run);
+                    assert!(truth.blocked || !is_unsafe || !may_have_run, "it may run again under its id");
                 }
             }
         }
@@ -379,6 +385,7 @@
                 sent: Vec::new(),
                 answered: None,
                 begun: false,
+                blocked: false,
                 held: None,
             };
             world.truth.insert(id, truth);
