Front: one client's flood costs others a turn, not the loop

Cause: two multiplied. A connection handled up to 16 pipelined requests each time its task ran; and the runtime looked for events on sockets only after 61 runs of tasks, of which there is always one beside a flood. A usual request waits for such an event at each of its steps, eight or more. Class: work that is bounded a task, but whose turns are bounded only in number.

Change: a connection passes one head on in a turn, then lets the others run; the runtime looks for events after four runs.

Hypotheses excluded: memory (8.4 MiB at most in the play), the hub's inbox (requests without an id never reach it), the router (the same at full core: 0.23 s for each usual request, in step with the number of events that it waits for). The tenth now also plays the batches.

--- a/src/program/cli/mod.rs
+++ b/src/program/cli/mod.rs
@@ -21,6 +21,10 @@
 use crate::membership::Refusal;
 use crate::protocol::figures;
 
+/// How many tasks run before the runtime looks for events on sockets. A request waits for such an event at each of its steps,
+/// and a connection on which requests arrive all the time is a task that never rests.
+const TASKS_BETWEEN_EVENTS: u32 = 4;
+
 /// A conductor for disaggregated LLM serving: it sends each prompt to the reader and the writer that suit it
 /// best, and relays the answer.
 ///
@@ -123,7 +127,10 @@
     let setup = Setup::read(operator)?;
     log::start(&setup.operator.log)?;
     allocator::configure();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .event_interval(TASKS_BETWEEN_EVENTS)
+        .enable_all()
+        .build()?;
     let name = setup.config.name.clone();
     let counters = runtime.block_on(async {
         let program = Program::start(setup).await?;
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -94,6 +94,7 @@
                         passable: 0,
                         reading: Reading::Head,
                         head_started: false,
+                        has_passed_head: false,
                         parse_at: 0,
                     };
                     return (gate, guard);
@@ -359,6 +360,8 @@
     reading: Reading,
     /// The pending bytes are the beginning of a head that the connection has been told of.
     head_started: bool,
+    /// A head has been passed on since the task last let others run.
+    has_passed_head: bool,
     /// An incomplete head without a further line is parsed again only once this many bytes are pending, so that the work
     /// does not grow with the square of its length.
     parse_at: usize,
@@ -398,6 +401,7 @@
         let head = without_unread_fields(&self.pending[..head_length]);
         self.passable = head.len();
         self.parse_at = 0;
+        self.has_passed_head = true;
         let mut pending = BytesMut::from(&head[..]);
         pending.extend_from_slice(&self.pending[head_length..]);
         self.pending = pending;
@@ -414,6 +418,16 @@
         beyond_first_read == 0 || self.connection.arrival.resize_head(beyond_first_read).is_ok()
     }
 
+    /// Returns true if another head waits although one has been passed on in this turn. Others get theirs first: a client that
+    /// sends many requests at once has one of them handled in a turn.
+    fn yields_to_others(&mut self, cx: &Context<'_>) -> bool {
+        let yields = std::mem::take(&mut self.has_passed_head);
+        if yields {
+            cx.waker().wake_by_ref();
+        }
+        yields
+    }
+
     /// Passes on the passable bytes, as far as the buffer has space. Returns false if nothing was passed on.
     fn pass_on(&mut self, buf: &mut ReadBuf<'_>) -> bool {
         let length = self.passable.min(buf.remaining());
@@ -449,6 +463,9 @@
                 Reading::Head => {
                     if !gate.pending.is_empty() {
                         gate.report_head();
+                        if gate.yields_to_others(cx) {
+                            return Poll::Pending;
+                        }
                         if gate.pending.len() >= gate.parse_at {
                             gate.parse_head();
                         }
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -299,6 +299,8 @@
             ("chunked", false, chunked),
             ("without id", false, without_id),
             ("unknown path", false, unknown_path),
+            ("batch", true, batch),
+            ("unknown tools", true, unknown_tools),
         ],
         Core::Tenth,
     );
