RPC front: a client has 32 calls at most that it does not wait for

Cause: a notification is answered with 202 at once, and its call goes on without its client. Nothing bounded how many of them one client had open, so that they took the router's and the servers' capacity and the memory budget. Class: a bound by what a connection does at a time does not hold for what it leaves behind.

Change: a connection has 32 such calls open at most, one batch; a POST with more waits for the earlier ones before its 202, and the connection with it.

--- a/src/transport/front/connection.rs
+++ b/src/transport/front/connection.rs
@@ -28,6 +28,10 @@
 /// How long to wait for a permit before another connection is evicted.
 const EVICTION_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How many calls of one connection may run without its client waiting for them. Further ones wait, and with them the
+/// connection: a client that waits for nothing would otherwise have as many calls open as it can send.
+const MAX_UNATTENDED_CALLS: usize = 32;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -91,6 +95,8 @@
     id: ConnectionId,
     drain: Arc<DrainDriver>,
     state: Mutex<State>,
+    /// The calls of this client that run without it waiting for them.
+    unattended: Arc<Semaphore>,
     /// The request that is arriving.
     pub arrival: ArrivingRequest,
     /// Notified when an answer has been written, and when the connection is evicted.
@@ -112,7 +118,8 @@
             last_answer: false,
             stalled_since: None,
         };
-        Connection { id, drain, state: Mutex::new(state), arrival, changed: Notify::new() }
+        let unattended = Arc::new(Semaphore::new(MAX_UNATTENDED_CALLS));
+        Connection { id, drain, state: Mutex::new(state), unattended, arrival, changed: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -185,6 +192,12 @@
         }
     }
 
+    /// Waits until the client may have another call run without waiting for it, and returns the permit for that.
+    pub async fn acquire_unattended_call(&self) -> Option<OwnedSemaphorePermit> {
+        // The semaphore is never closed.
+        self.unattended.clone().acquire_owned().await.ok()
+    }
+
     /// Returns true if the head that is arriving has been shed, as memory is needed for others.
     pub fn is_head_shed(&self) -> bool {
         self.arrival.is_shed() && self.state().stage == Stage::Head
--- a/src/transport/front/rpc.rs
+++ b/src/transport/front/rpc.rs
@@ -17,7 +17,8 @@
 use serde_json::Value;
 use tokio::sync::{Notify, mpsc};
 
-use super::body::{BodyError, read_body};
+use super::body::{Arrival, BodyError, read_body};
+use super::connection::Connection;
 use crate::interface::{Micros, SessionKey};
 use crate::protocol::jsonrpc::{self, Message, Post, RpcError};
 use crate::protocol::platform::TIME_LEFT;
@@ -124,19 +125,26 @@
     if refused {
         front.refuse(&caller, messages, is_batch)
     } else {
-        front.accept(&caller, messages, &Arc::new(memory))
+        let connection = head.extensions.get::<Arrival>().map(|arrival| arrival.connection.clone());
+        front.accept(&caller, messages, &Arc::new(memory), connection.as_deref()).await
     }
 }
 
 impl RpcFront {
     /// Carries out the messages of a POST, for which `memory` is charged.
-    fn accept(&self, caller: &Caller, messages: Vec<ParsedMessage>, memory: &Arc<Charge>) -> Response {
+    async fn accept(
+        &self,
+        caller: &Caller,
+        messages: Vec<ParsedMessage>,
+        memory: &Arc<Charge>,
+        connection: Option<&Connection>,
+    ) -> Response {
         let (to_client, receiver) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
         let mut has_responses = false;
         for message in messages {
             match message {
                 Ok(Message::Request { id: None, method, params }) => {
-                    self.handle_notification(caller, &method, params, memory);
+                    self.handle_notification(caller, &method, (params, memory), connection).await;
                     continue;
                 }
                 Ok(Message::Request { id: Some(id), method, params }) => {
@@ -211,12 +219,22 @@
     }
 
     /// Carries out a notification, which is never answered: cancels a call or runs a tool.
-    fn handle_notification(&self, caller: &Caller, method: &str, params: Value, memory: &Arc<Charge>) {
+    async fn handle_notification(
+        &self,
+        caller: &Caller,
+        method: &str,
+        (params, memory): (Value, &Arc<Charge>),
+        connection: Option<&Connection>,
+    ) {
         if method == jsonrpc::CANCELLED {
             self.cancel_call(caller, &params);
         } else if let Ok(tool) = self.relay.tool(method, &params) {
             let call = caller.call(Value::Null, params);
-            self.relay.run_unattended(ChargedCall { call, memory: Some(memory.clone()) }, tool);
+            let permit = match connection {
+                Some(connection) => connection.acquire_unattended_call().await,
+                None => None,
+            };
+            self.relay.run_unattended(ChargedCall { call, memory: Some(memory.clone()) }, tool, permit);
         }
     }
 
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -11,7 +11,7 @@
 use http::header::{ACCEPT, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method};
 use serde_json::Value;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
@@ -147,12 +147,15 @@
         self.clone().relay(call, tool, to_client.clone(), nesting).await
     }
 
-    /// Runs a call that nobody waits for, in a task of its own.
-    pub fn run_unattended(&self, call: ChargedCall, tool: Tool) {
+    /// Runs a call that nobody waits for, in a task of its own, which keeps the permit until the call has ended.
+    pub fn run_unattended(&self, call: ChargedCall, tool: Tool, permit: Option<OwnedSemaphorePermit>) {
         let (to_client, mut discarded) = mpsc::channel::<ClientMessage>(DISCARDED_QUEUE_CAPACITY);
         tokio::spawn(async move { while discarded.recv().await.is_some() {} });
         let relay = self.clone();
-        self.unattended.spawn(async move { relay.run(call, tool, &to_client).await });
+        self.unattended.spawn(async move {
+            relay.run(call, tool, &to_client).await;
+            drop(permit);
+        });
     }
 
     /// Relays a call at a depth of nesting. This is not an `async fn` because calls make nested calls, and a future
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -301,6 +301,7 @@
             ("unknown path", false, unknown_path),
             ("batch", true, batch),
             ("unknown tools", true, unknown_tools),
+            ("notifications", true, notifications),
         ],
         Core::Tenth,
     );
