Timers: those of a request go with it

Cause: the core and the router kept the timers of a request (its time, its attempts, the router's own tasks) until they were due, whether or not the request had ended. Class: what a request needs is bounded while it is open, not what it leaves.

Change: the router's tasks stand in a schedule (choice/schedule.rs) that drops those of a request with it; the core sets one timer for a router, for what it has due next, and removes the timers of a request that it forgets.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,6 +11,7 @@
 mod load_estimate;
 mod ranking;
 mod reader_selection;
+mod schedule;
 mod server_list;
 mod writer_selection;
 
@@ -22,6 +23,7 @@
 use self::health::record_outcome;
 use self::kept_prefixes::{KeptKey, KeptPrefixes, kept_keys};
 use self::ranking::rank_candidates;
+use self::schedule::{Schedule, TimerTask};
 use crate::interface::*;
 use crate::pace::{DEFAULT_HALF_LIFE_US, DecayedSums};
 use crate::roster::{Roster, SampleSize, rendezvous_hash};
@@ -155,14 +157,6 @@
     }
 }
 
-/// What is done when a timer fires.
-enum TimerTask {
-    Maintenance,
-    Deadline(RequestId),
-    AttemptOverdue(RequestId, usize),
-    Reselect(RequestId),
-}
-
 /// Averages over all servers of a role.
 #[derive(Clone, Copy, Default)]
 struct FleetAverages {
@@ -185,8 +179,7 @@
     /// Own pending attempts at all servers that have not begun to answer.
     total_pending: u32,
     requests: BTreeMap<RequestId, OpenRequest>,
-    scheduled_tasks: BTreeMap<(Micros, u64), TimerTask>,
-    last_timer: u64,
+    schedule: Schedule,
     readers: FleetAverages,
     writers: FleetAverages,
     /// Slow start of readers, and of all other servers.
@@ -221,8 +214,7 @@
             roster: Roster::default(),
             total_pending: 0,
             requests: BTreeMap::new(),
-            scheduled_tasks: BTreeMap::new(),
-            last_timer: 0,
+            schedule: Schedule::default(),
             readers: FleetAverages { read_rate: INITIAL_READ_RATE, ..FleetAverages::default() },
             writers: FleetAverages { read_rate: INITIAL_READ_RATE, ..FleetAverages::default() },
             readers_in_zone: 0.0,
@@ -244,9 +236,14 @@
         (self.servers.len(), self.servers.values().filter(avoided).count())
     }
 
+    /// Returns when a timer event is needed next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.schedule.next_due()
+    }
+
     /// Handles one event and appends the resulting actions.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Actions) {
-        if self.last_timer == 0 {
+        if self.schedule.is_unused() {
             self.set_timer(now + MAINTENANCE_INTERVAL, TimerTask::Maintenance, actions);
             if self.settings.discovery == Discovery::OnRequest {
                 actions.push(Action::Watch(true));
@@ -513,7 +510,7 @@
                 actions.push(Action::Release(id));
             }
             if open.pending_attempt().is_none() {
-                self.requests.remove(&id);
+                self.forget(id);
             }
             return;
         }
@@ -547,19 +544,24 @@
             actions.push(Action::Release(id));
         }
         if open.pending_attempt().is_none() {
-            self.requests.remove(&id);
+            self.forget(id);
         }
     }
 
+    /// Drops a request with its tasks.
+    fn forget(&mut self, id: RequestId) {
+        self.requests.remove(&id);
+        self.schedule.remove_request(&id);
+    }
+
     fn set_timer(&mut self, at: Micros, task: TimerTask, actions: &mut Actions) {
-        self.last_timer += 1;
-        self.scheduled_tasks.insert((at, self.last_timer), task);
-        actions.push(Action::SetTimer { at, timer: TimerId(self.last_timer) });
+        let timer = TimerId(self.schedule.add(at, task));
+        actions.push(Action::SetTimer { at, timer });
     }
 
     fn on_timer(&mut self, now: Micros, actions: &mut Actions) {
-        while let Some(first) = self.scheduled_tasks.first_entry().filter(|e| e.key().0 <= now) {
-            match first.remove() {
+        while let Some(task) = self.schedule.take_due(now) {
+            match task {
                 TimerTask::Maintenance => self.maintain(now, actions),
                 TimerTask::AttemptOverdue(id, attempt) => self.on_attempt_overdue(now, id, attempt, actions),
                 TimerTask::Reselect(id) => self.advance(now, id, actions),
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -5,7 +5,7 @@
 
 use super::evidence::Evidence;
 use super::message::{Admission, CancelReason, ConnectionChoice, Input, Output, PoolId};
-use super::state::{Deferred, OpenRequest, Pool, Timer};
+use super::state::{Deferred, OpenRequest, Pool, Timer, TimerKey};
 use super::totals::{ClassTotals, RequestEnd, Totals};
 use super::tries::{Attempt, Attempts};
 use crate::choice::Router;
@@ -27,7 +27,7 @@
 pub struct Core {
     pub(super) pools: Vec<Pool>,
     pub(super) requests: HashMap<RequestId, OpenRequest>,
-    timers: BTreeMap<(Micros, u64), Timer>,
+    timers: BTreeMap<TimerKey, Timer>,
     timer_count: u64,
     pub(super) totals: Totals,
 }
@@ -38,7 +38,15 @@
         let router = Router::new(settings.clone(), seed, now)?;
         let class_totals = vec![ClassTotals::default(); settings.classes.len()];
         let (kinds, last_answered) = (BTreeMap::new(), BTreeMap::new());
-        self.pools.push(Pool { router, settings, kinds, last_answered, generation: 0, class_totals });
+        self.pools.push(Pool {
+            router,
+            router_timer: None,
+            settings,
+            kinds,
+            last_answered,
+            generation: 0,
+            class_totals,
+        });
         Ok(PoolId(self.pools.len() as u8 - 1))
     }
 
@@ -86,7 +94,7 @@
     pub fn tick(&mut self, now: Micros, outputs: &mut Vec<Output>) {
         while let Some(first) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
             match first.remove() {
-                Timer::Router(pool, timer) => self.drive(now, pool, Event::Timer(timer), outputs),
+                Timer::Router(pool, timer) => self.run_router_tasks(now, pool, timer, outputs),
                 Timer::GiveUp(id, attempt) => {
                     let Some(open) = self.requests.get_mut(&id) else { continue };
                     let is_answering = open.answering == Some(attempt);
@@ -170,7 +178,8 @@
         request.expires = now.saturating_add(time_left);
         let (id, class, expires) = (request.id, request.class, request.expires);
         let (attempts, held, answering, settled) = (Attempts::default(), HeldState::default(), None, false);
-        let open = OpenRequest { pool, class, expires, attempts, answering, settled, held, deferred: None };
+        let (deferred, timers) = (None, Vec::new());
+        let open = OpenRequest { pool, class, expires, attempts, answering, settled, held, deferred, timers };
         self.requests.insert(id, open);
         self.totals.taken += 1;
         self.drive(now, pool, Event::Request(request), outputs);
@@ -248,10 +257,12 @@
     /// Forgets a request once its answer is given and its last attempt has ended.
     pub(super) fn forget(&mut self, id: RequestId, outputs: &mut Vec<Output>) {
         if self.requests.get(&id).is_some_and(|open| open.settled && open.nothing_pending()) {
-            let open = self.requests.remove(&id);
-            let blocked_from = open.and_then(|open| {
-                self.class(open.pool, open.class).and_then(|class| open.attempts.repeats_until(class))
-            });
+            let Some(open) = self.requests.remove(&id) else { return };
+            for key in &open.timers {
+                self.timers.remove(key);
+            }
+            let class = self.class(open.pool, open.class);
+            let blocked_from = class.and_then(|class| open.attempts.repeats_until(class));
             outputs.extend(blocked_from.map(|from| Output::BlockId(id, from)));
             outputs.push(Output::Forget(id));
         }
@@ -334,7 +345,7 @@
             }
             Action::Release(request) => self.start_release(now, request, outputs),
             Action::HoldPlace { request, server } => outputs.push(Output::HoldPlace(pool, request, server)),
-            Action::SetTimer { at, timer } => self.set_timer(at, Timer::Router(pool, timer)),
+            Action::SetTimer { at, timer } => self.set_router_timer(pool, at, timer),
             Action::Probe(server) => {
                 self.totals.probes += 1;
                 outputs.push(Output::Probe(pool, server));
@@ -351,9 +362,46 @@
         None
     }
 
+    /// Sets a timer. That of a request is removed with it.
     pub(super) fn set_timer(&mut self, at: Micros, timer: Timer) {
+        let request = timer.request();
+        let key = self.insert_timer(at, timer);
+        if let Some(open) = request.and_then(|id| self.requests.get_mut(&id)) {
+            open.timers.push(key);
+        }
+    }
+
+    fn insert_timer(&mut self, at: Micros, timer: Timer) -> TimerKey {
         self.timer_count += 1;
         self.timers.insert((at, self.timer_count), timer);
+        (at, self.timer_count)
+    }
+
+    /// Sets the timer of a pool's router, unless it is due earlier already: upon it the router does all that is due.
+    fn set_router_timer(&mut self, pool: PoolId, at: Micros, timer: TimerId) {
+        let Some(set) = self.pools.get(usize::from(pool.0)).map(|pool| pool.router_timer) else { return };
+        if set.is_some_and(|(due, _)| due <= at) {
+            return;
+        }
+        if let Some(later) = set {
+            self.timers.remove(&later);
+        }
+        let key = self.insert_timer(at, Timer::Router(pool, timer));
+        if let Some(pool) = self.pools.get_mut(usize::from(pool.0)) {
+            pool.router_timer = Some(key);
+        }
+    }
+
+    /// Has a router do what is due, and sets the timer for what is due next.
+    fn run_router_tasks(&mut self, now: Micros, pool: PoolId, timer: TimerId, outputs: &mut Vec<Output>) {
+        if let Some(pool) = self.pools.get_mut(usize::from(pool.0)) {
+            pool.router_timer = None;
+        }
+        self.drive(now, pool, Event::Timer(timer), outputs);
+        let due = self.pools.get(usize::from(pool.0)).and_then(|pool| pool.router.next_due());
+        if let Some(due) = due {
+            self.set_router_timer(pool, due, timer);
+        }
     }
 
     /// Marks a request as answered. Returns None if it was answered before, so that no second answer is sent.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -23,8 +23,13 @@
     pub(super) held: HeldState,
     /// A further read that waits until what earlier attempts may have left has been released.
     pub(super) deferred: Option<Deferred>,
+    /// Its timers that have been set.
+    pub(super) timers: Vec<TimerKey>,
 }
 
+/// When a timer is due, and its number.
+pub(super) type TimerKey = (Micros, u64);
+
 /// An attempt that has been decided on and not been sent yet.
 #[derive(Clone, Copy)]
 pub(super) struct Deferred {
@@ -58,9 +63,22 @@
     Release(RequestId),
 }
 
+impl Timer {
+    /// Returns the request that the timer is for.
+    pub(super) fn request(&self) -> Option<RequestId> {
+        match self {
+            Timer::Router(..) => None,
+            Timer::GiveUp(id, _) | Timer::Connect(id, _) | Timer::Deferred(id, _) => Some(*id),
+            Timer::HeldExpiry(id) | Timer::Release(id) => Some(*id),
+        }
+    }
+}
+
 /// One router with what the core knows of its servers.
 pub(super) struct Pool {
     pub(super) router: Router,
+    /// The timer for the task that the router has due next.
+    pub(super) router_timer: Option<TimerKey>,
     pub(super) settings: Settings,
     pub(super) kinds: BTreeMap<ServerId, KindId>,
     /// When each server last answered any call.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -471,3 +471,34 @@
         );
     }
 }
+
+/// Failure: timers of requests that have ended stay until their time, and fill the memory.
+#[test]
+fn ended_requests_leave_no_timers() {
+    let mut harness = Harness::new(Effect::Safe);
+    let idle_due = harness.core.next_due().expect("maintenance");
+    for number in 0..200_u8 {
+        let mut request = request(1, 0);
+        request.id = RequestId([number; 36]);
+        let id = request.id;
+        let admission = Admission { pool: harness.pool, request, time_left: 60 * S };
+        harness.input(Input::Request(admission));
+        harness.ended(id, 0, Outcome::Read);
+        harness.written(id, 1);
+        harness.input(Input::Started(id, 1));
+        let outputs = harness.ended(id, 1, Outcome::Served);
+        assert!(outputs.contains(&Output::Forget(id)), "{outputs:?}");
+        if harness.core.next_due().is_some_and(|due| due <= harness.now) {
+            harness.tick(harness.now);
+        }
+    }
+    // What is left is due at even intervals: the maintenance of the router.
+    let mut due_times = vec![idle_due];
+    while due_times.len() < 12 {
+        let due = harness.core.next_due().expect("maintenance");
+        harness.tick(due.max(harness.now));
+        due_times.push(due);
+    }
+    let gaps: Vec<Micros> = due_times[1..].windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps.iter().all(|gap| *gap == gaps[0] && *gap > 0), "{gaps:?}");
+}
