Router: bound what it remembers of sessions and prefixes

Cause: the table of what a reader is presumed to keep has an entry for each session and prefix, and clients choose these. Class: bounded in time, not in number.

Change: 2,048 entries a reader; while the table is full, only known keys are recorded, so that new sessions go without affinity.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -404,7 +404,8 @@
         if reads {
             server.unread_tokens += missing;
             server.kept.record(now, &request);
-            kept_keys(&request).for_each(|(key, _)| self.roster.add_holder(key, to));
+            let recorded = kept_keys(&request).filter(|(key, _)| server.kept.has(key));
+            recorded.for_each(|(key, _)| self.roster.add_holder(key, to));
         }
         if server.role != Role::Reader {
             server.unreported_streams.push((now, held_tokens));
--- a/src/choice/kept_prefixes.rs
+++ b/src/choice/kept_prefixes.rs
@@ -6,6 +6,8 @@
 
 /// How long an unused entry stays valid. The reader may have dropped its tokens since.
 const ENTRY_TTL: Micros = 30_000_000;
+/// The most entries of one reader. Clients choose the names of sessions and prefixes, so their number is no bound.
+const MAX_ENTRIES: usize = 2_048;
 
 /// The key of a table entry.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,9 +36,13 @@
         kept_keys(request).filter_map(valid_tokens).max().unwrap_or(0)
     }
 
-    /// Records that the reader keeps the request's prompt, or will once it has read it.
+    /// Records that the reader keeps the request's prompt, or will once it has read it. While the table is full, only known
+    /// keys are recorded.
     pub(super) fn record(&mut self, now: Micros, request: &Request) {
         for (key, tokens) in kept_keys(request) {
+            if self.0.len() >= MAX_ENTRIES && !self.has(&key) {
+                continue;
+            }
             let kept = self.0.entry(key).or_insert(KeptEntry { tokens, last_used: now });
             (kept.tokens, kept.last_used) = (kept.tokens.max(tokens), now);
         }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -340,6 +340,43 @@
     });
 }
 
+/// Sends requests one after the other on a connection, each under names of its own, and returns how many were served.
+async fn send_under_new_names(front: String, client: usize, until: Instant) -> usize {
+    let mut wire = Wire::connect(&front).await;
+    let (mut served, mut number) = (0, 0);
+    while Instant::now() < until {
+        number += 1;
+        let name = format!("n{client}-{number}");
+        let request = platform_request(&name, "ask", 60_000, "{}")
+            .replace("X-Session-Key: s\r\n", &format!("X-Session-Key: {name}\r\n"))
+            .replace("prefix=5c0f", &format!("prefix={name}"));
+        wire.write(&request).await;
+        let head = wire.until("\r\n\r\n").await.expect("an answer");
+        if head.starts_with("HTTP/1.1 200") {
+            wire.rest_of_answer().await;
+            served += 1;
+        }
+    }
+    served
+}
+
+/// Failure: names that clients choose, and timers of requests that have long been answered, fill the memory.
+#[test]
+fn answered_requests_leave_nothing_behind() {
+    story_within(Duration::from_secs(60), async {
+        let site = Site::start("names", 32).await;
+        let until = Instant::now() + Duration::from_secs(12);
+        let mut clients = JoinSet::new();
+        for client in 0..40 {
+            clients.spawn(send_under_new_names(site.process.front.clone(), client, until));
+        }
+        let served: usize = clients.join_all().await.into_iter().sum();
+        println!("{served} served, peak {:?}", site.process.memory());
+        assert!(served > 1_000, "{served} served");
+        site.check_memory().await;
+    });
+}
+
 /// Failure: a limit that is too small to run with is found out only when the process is killed.
 #[test]
 fn memory_limit_that_is_too_small_is_refused_with_what_is_needed() {
