Budget: as many connections to servers as to clients with the least memory

With 32 MB the memory's share for connections to servers allowed 322 of them, fewer than the 341 requests that clients may have open on 1,024 descriptors; a request more would have found no connection.

--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -18,7 +18,7 @@
 /// The share of the memory that client connections alone may take, without the requests on them.
 const FRONT_MEMORY_SHARE: f64 = 0.4;
 /// The share of the memory that connections to peers may take.
-const PEER_MEMORY_SHARE: f64 = 0.3;
+const PEER_MEMORY_SHARE: f64 = 0.4;
 
 /// The connections that fronts and peers may open, and the memory that all of the program may use.
 #[derive(Clone, Debug)]
