Peers: bound heads and bodies that servers send by what an answer needs

What callers saw: a crowd of 341 requests whose servers answered with heads or refusals of 60,000 bytes in small pieces took the process to 37 MiB of 32 MB.

Cause: a head, a body that is no stream, and comments before a stream might each take 64 KiB, four times what is charged for a connection to a server. Class: a bound for each that no budget knew of.

Change: 16 KiB for each, as for clients' heads; the platform's have some hundred bytes. Freed memory is also given back five seconds after a fall of less than 512 KiB; the first play of the test kept 15 MiB of heap for 2 MB in use. A head that has arrived when its connection's time is over is read in that turn also behind another head, so that it is not given up (read, not seen).

--- a/src/program/allocator.rs
+++ b/src/program/allocator.rs
@@ -12,8 +12,10 @@
 const MAX_POOLS: libc::c_int = 1;
 /// How often the program checks whether there is something to give back.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Freed memory is given back once the use has fallen by this much, in bytes.
+/// Freed memory is given back at once if the use has fallen by this much, in bytes.
 const MIN_FALL_BYTES: usize = 512 * 1024;
+/// After so many checks it is given back if the use has fallen at all.
+const MAX_CHECKS: u32 = 5;
 
 /// Sets the allocator up. This has to happen before other threads are started.
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
@@ -44,15 +46,17 @@
 
 /// Gives memory back whenever a load has ended. Never returns.
 pub async fn trim_after_loads(memory: MemoryBudget) {
-    let mut peak = 0;
+    let (mut peak, mut checks) = (0, 0);
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         peak = peak.max(memory.take_peak());
+        checks += 1;
         let used = memory.used();
-        if peak.saturating_sub(used) >= MIN_FALL_BYTES {
+        let fall = peak.saturating_sub(used);
+        if fall >= MIN_FALL_BYTES || fall > 0 && checks >= MAX_CHECKS {
             trim();
             tracing::debug!(target: "birchspur::memory", peak, used, "gave freed memory back");
-            peak = used;
+            (peak, checks) = (used, 0);
         }
     }
 }
--- a/src/protocol/chunks.rs
+++ b/src/protocol/chunks.rs
@@ -4,7 +4,7 @@
 /// The largest chunk, in bytes: several of the largest events.
 pub const MAX_CHUNK_BYTES: u64 = 1024 * 1024;
 /// The largest head that is looked at, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The most headers of an answer.
 const MAX_HEADERS: usize = 100;
 
--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -463,7 +463,7 @@
                 Reading::Head => {
                     if !gate.pending.is_empty() {
                         gate.report_head();
-                        if gate.yields_to_others(cx) {
+                        if !gate.connection.is_last_read() && gate.yields_to_others(cx) {
                             return Poll::Pending;
                         }
                         if gate.pending.len() >= gate.parse_at {
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -36,7 +36,7 @@
 /// Most bytes that are read at once.
 const READ_SIZE: usize = 8 * 1024;
 /// Size limit of an answer's head, in bytes. Anything longer is not a valid head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// How long the head of an answer may take once it has begun. Servers send a head at once, so one that is not complete
 /// by then never will be.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -30,7 +30,7 @@
 /// Capacity of a peer's inbox, in messages.
 const MAILBOX_CAPACITY: usize = 1024;
 /// Most bytes that are read of an answer that is not a stream.
-const MAX_REPLY_BYTES: usize = 64 * 1024;
+const MAX_REPLY_BYTES: usize = 16 * 1024;
 /// How long the body of a read's answer may take after its head.
 const READ_BODY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long the body of an answer that is neither a read nor a stream may take after its head. If it takes longer, its
--- a/src/transport/peer/relay.rs
+++ b/src/transport/peer/relay.rs
@@ -23,7 +23,7 @@
 /// Most parts of an answer that are buffered for its client.
 const MAX_BUFFERED_PARTS: usize = 32;
 /// Most bytes of comments before a stream's first event.
-const MAX_COMMENT_BYTES: usize = 64 * 1024;
+const MAX_COMMENT_BYTES: usize = 16 * 1024;
 
 /// Why an answer ends before its last chunk.
 enum Break {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -340,6 +340,69 @@
     });
 }
 
+/// Starts a server whose answers are spoilt: a head of 60,000 bytes, or a refusal with a body of that size, in small pieces.
+/// Returns its address.
+async fn server_of_large_refusals() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        for number in 0_usize.. {
+            let Ok((stream, _)) = listener.accept().await else { return };
+            tokio::spawn(async move {
+                let mut wire = Wire::of(stream);
+                while let Some((head, _)) = wire.message().await {
+                    if !head.starts_with("POST /v1/") {
+                        wire.write_all_it_takes("HTTP/1.1 204 No Content\r\n\r\n").await;
+                        continue;
+                    }
+                    let answer = match number.is_multiple_of(2) {
+                        true => format!("HTTP/1.1 202 Accepted\r\n{}", "X-A: bbbbbbbb\r\n".repeat(4_000)),
+                        false => format!(
+                            "HTTP/1.1 202 Accepted\r\nContent-Length: 60000\r\n\r\n{}",
+                            " ".repeat(60_000)
+                        ),
+                    };
+                    for piece in answer.as_bytes().chunks(512) {
+                        if !wire.takes(std::str::from_utf8(piece).expect("text")).await {
+                            return;
+                        }
+                        sleep(Duration::from_millis(2)).await;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Failure: large heads and bodies of servers' answers fill the memory.
+#[test]
+fn large_refusals_of_servers_stay_below_the_memory_limit() {
+    story_within(Duration::from_secs(60), async {
+        let mut servers = Vec::new();
+        for number in 0..8 {
+            servers.push(member(&format!("s-r{number}"), &server_of_large_refusals().await, "reader"));
+        }
+        servers.push(member("s-w", &Auto::start(false).await.address, "writer"));
+        let mut config = config(&telling_once(&servers).await, &servers);
+        config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": SOCKETS});
+        let process = Process::start("refusals", config, &[]).await;
+        let at_rest = process.memory().expect("it runs").resident;
+        let site = Site { process, limit: 32_000_000, at_rest };
+        let mut clients = JoinSet::new();
+        for number in 0..CROWD {
+            let text = platform_request(&format!("l{number}"), "ask", 3000, "{}");
+            let sending = Sending { sent: text.len(), text, piece: 1024, pause: Duration::ZERO };
+            clients.spawn(send(site.process.front.clone(), sending));
+            sleep(Duration::from_millis(2)).await;
+        }
+        let lines = clients.join_all().await;
+        assert!(lines.iter().all(Option::is_some), "a request got no final answer");
+        println!("peak {:?}", site.process.memory());
+        site.check_memory().await;
+    });
+}
+
 /// Sends requests one after the other on a connection, each under names of its own, and returns how many were served.
 async fn send_under_new_names(front: String, client: usize, until: Instant) -> usize {
     let mut wire = Wire::connect(&front).await;
