--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cell;
 pub mod client;
+pub mod crowd;
 pub mod gate;
 pub mod http;
 pub mod matrix;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,14 +1,16 @@
 //! The command line of the fault matrix.
 
 use std::net::Ipv4Addr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use birchspur_soak::cell::{Cell, CellError, Named, parse};
+use birchspur_soak::crowd::{self, Break, Outcome, Play};
 use birchspur_soak::matrix::{JOBS, Row, Verdict, run, table};
 use birchspur_soak::stand_in;
 use birchspur_soak::world::Programs;
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use futures_util::{StreamExt, stream};
 
 /// A rule was broken.
 const RED: u8 = 1;
@@ -46,6 +48,21 @@
         #[command(flatten)]
         how: How,
     },
+    /// Plays seeded crowds: slow, half and flooding clients, spoilt streams, and signals in series
+    Crowd {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// How many seeds are played
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Plays at once
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+        /// The program under test
+        #[arg(long, default_value = "target/release/birchspur", value_name = "PATH")]
+        program: PathBuf,
+    },
     /// A server or discovery of a play
     #[command(hide = true)]
     StandIn {
@@ -97,6 +114,9 @@
             };
             return if served.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(NOT_RUN) };
         }
+        Command::Crowd { first, seeds, jobs, program } => {
+            return play_crowds(first, seeds, jobs, &program).await;
+        }
         Command::Cell { name, how } => match parse(&name) {
             Ok(named) => play(&[named], &how).await,
             Err(error) => Err(error),
@@ -116,6 +136,47 @@
     })
 }
 
+/// Plays crowds, and prints each outcome with the seed that replays it.
+async fn play_crowds(first: u64, seeds: u64, jobs: usize, program: &Path) -> ExitCode {
+    let (mut red, mut not_run) = (0, 0);
+    let mut plays = stream::iter(first..first.saturating_add(seeds))
+        .map(|seed| crowd::run(program, Play::of_seed(seed)))
+        .buffered(jobs.max(1));
+    while let Some(outcome) = plays.next().await {
+        match outcome {
+            Ok(outcome) => {
+                red += usize::from(!outcome.breaks.is_empty());
+                print_crowd(&outcome);
+            }
+            Err(error) => {
+                not_run += 1;
+                println!("NOT RUN  {error}");
+            }
+        }
+    }
+    eprintln!("{red} red, {not_run} not run, of {seeds}");
+    match (red, not_run) {
+        (0, 0) => ExitCode::SUCCESS,
+        (0, _) => ExitCode::from(NOT_RUN),
+        _ => ExitCode::from(RED),
+    }
+}
+
+fn print_crowd(outcome: &Outcome) {
+    let Outcome { play, breaks, sent, served, peak, starts } = outcome;
+    println!(
+        "{:8} seed {}  {} MB  {} clients  {served}/{sent} served  peak {} KiB  {starts} starts",
+        if breaks.is_empty() { "green" } else { "RED" },
+        play.seed,
+        play.memory_mb,
+        play.clients,
+        peak / 1024
+    );
+    for Break { rule, seen } in breaks {
+        println!("         {rule:?}: {seen}");
+    }
+}
+
 fn cells(only: Option<&str>, choice: Option<usize>) -> Result<Vec<Named>, CellError> {
     let cells = choice.map_or_else(Cell::all, Cell::choice);
     let pattern = only.unwrap_or_default();
