Soak: what a sound server wrote long before may still be on its way

Trace: the servers' streams were sound, 3 MB each, written into the system's buffers within 0.2 s; some 40 of them went through the process at once, beside a crowd that kept its core busy, and ended within 0.1 s of each other; one took 5.33 s from its send to its outcome "Served". So those clients had bytes all the time and were not left waiting.

The rule now counts, for sound streams alone, from the last bytes that the client had; for all others from the server's last event, as before. `--keep` writes the log of the process.

--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -150,6 +150,7 @@
             answered: answer.answered,
             ended: Instant::now(),
             end: answer.end,
+            last_bytes: answer.last_bytes,
             is_taken_slowly: self.kind == Kind::SlowTaker,
         });
     }
@@ -175,7 +176,7 @@
         let sent = Instant::now();
         let read = follow_half(&mut reader);
         let ((), (answered, end)) = tokio::join!(write, read);
-        let answer = Answer { answered, end, keeps_connection: false };
+        let answer = Answer { answered, last_bytes: answered, end, keeps_connection: false };
         // The client's time runs from the end of its request; what is judged here is that there is an answer.
         let judged_from = answered.unwrap_or(sent);
         self.note(id, judged_from, &answer);
@@ -200,7 +201,7 @@
         let sent = Instant::now();
         sleep(Duration::from_millis(self.rng.u64(0..300))).await;
         drop(wire);
-        self.note(id, sent, &Answer { answered: None, end: End::Left, keeps_connection: false });
+        self.note(id, sent, &Answer::without_bytes(End::Left));
         sleep(Duration::from_millis(self.rng.u64(0..100))).await;
         let Some(mut wire) = self.process.connect().await else { return };
         if wire.write_all(text.as_bytes()).await.is_ok() {
@@ -230,10 +231,19 @@
 /// An answer as its client saw it.
 struct Answer {
     answered: Option<Instant>,
+    /// When bytes of it arrived last.
+    last_bytes: Option<Instant>,
     end: End,
     keeps_connection: bool,
 }
 
+impl Answer {
+    /// An answer of which nothing was seen.
+    fn without_bytes(end: End) -> Self {
+        Answer { answered: None, last_bytes: None, end, keeps_connection: false }
+    }
+}
+
 /// Reads the status line of an answer to a request that may not be whole.
 async fn follow_half(reader: &mut (impl AsyncReadExt + Unpin)) -> (Option<Instant>, End) {
     let until = Instant::now() + STREAM_TIME;
@@ -257,7 +267,7 @@
             break at + 4;
         }
         if !matches!(timeout_at(head_until, wire.read_buf(&mut bytes)).await, Ok(Ok(1..))) {
-            return Answer { answered: None, end: End::Unanswered, keeps_connection: false };
+            return Answer::without_bytes(End::Unanswered);
         }
     };
     let answered = Some(Instant::now());
@@ -267,13 +277,15 @@
     if !head.contains("transfer-encoding") {
         let length = crate::http::header(&head, "content-length").and_then(|text| text.parse().ok());
         let is_read = bytes.len() - head_end >= length.unwrap_or(0_usize);
-        return Answer { answered, end: End::Answered(status), keeps_connection: is_read && !closes };
+        let (end, keeps_connection) = (End::Answered(status), is_read && !closes);
+        return Answer { answered, last_bytes: answered, end, keeps_connection };
     }
     let mut tail = bytes.split_off(head_end);
     let until = Instant::now() + STREAM_TIME;
+    let mut last_bytes = answered;
     loop {
         if tail.ends_with(b"\r\n0\r\n\r\n") {
-            return Answer { answered, end: End::Whole, keeps_connection: !closes };
+            return Answer { answered, last_bytes, end: End::Whole, keeps_connection: !closes };
         }
         if tail.len() > 4096 {
             tail.drain(..tail.len() - 16);
@@ -281,8 +293,11 @@
         sleep(pause).await;
         let mut buffer = vec![0; if pause.is_zero() { 64 * 1024 } else { 256 * 1024 }];
         match timeout_at(until, wire.read(&mut buffer)).await {
-            Ok(Ok(length @ 1..)) => tail.extend_from_slice(&buffer[..length]),
-            _ => return Answer { answered, end: End::Broken, keeps_connection: false },
+            Ok(Ok(length @ 1..)) => {
+                last_bytes = Some(Instant::now());
+                tail.extend_from_slice(&buffer[..length]);
+            }
+            _ => return Answer { answered, last_bytes, end: End::Broken, keeps_connection: false },
         }
     }
 }
--- a/crates/soak/src/crowd/mod.rs
+++ b/crates/soak/src/crowd/mod.rs
@@ -95,8 +95,8 @@
         "StepMs": 2.0})
 }
 
-/// Plays one play.
-pub async fn run(program: &Path, play: Play) -> Result<Outcome, NotRun> {
+/// Plays one play. With a folder to keep it in, the log of the process is written there.
+pub async fn run(program: &Path, play: Play, keep: Option<&Path>) -> Result<Outcome, NotRun> {
     let mut rng = Rng::with_seed(play.seed ^ 0x5eed);
     let log = Log::default();
     let mut members = Vec::new();
@@ -115,6 +115,7 @@
         config: json!({"name": "n1", "discovery": discovery.address, "seed": format!("{:x}", play.seed),
             "limits": {"cores": 1.0, "memory_mb": play.memory_mb, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": members}, "settings": settings()}),
+        log_file: keep.map(|folder| folder.join(format!("seed-{}.log", play.seed))),
     };
     servers.spawn(discovery.serve());
     let process = Arc::new(Process::start(setup, log.clone()).await?);
--- a/crates/soak/src/crowd/process.rs
+++ b/crates/soak/src/crowd/process.rs
@@ -19,6 +19,8 @@
 use crate::http::{Reader, status};
 use crate::world::NotRun;
 
+/// The operator's document: what the log tells.
+const OPERATOR: &str = "log filter=\"info,birchspur::attempt=debug,birchspur::memory=debug\"\n";
 /// A process has to be there within this.
 const STARTS_WITHIN: Duration = Duration::from_secs(10);
 /// How often its memory is looked at.
@@ -33,6 +35,8 @@
     pub(super) program: PathBuf,
     /// Its configuration, without the address to listen on.
     pub(super) config: Value,
+    /// Where its log is kept, if it is.
+    pub(super) log_file: Option<PathBuf>,
 }
 
 struct State {
@@ -93,12 +97,16 @@
 
     /// Begins the next life.
     pub(super) async fn restart(&self) -> Result<(), NotRun> {
+        let operator = self.folder.path().join("operator.kdl");
+        std::fs::write(&operator, OPERATOR).map_err(system("no folder"))?;
         let child = Command::new(&self.setup.program)
+            .args(["serve", "--operator"])
+            .arg(operator)
             .env("LB_CONFIG", self.folder.path().join("config.json"))
             .env("TMPDIR", self.folder.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(self.log()?)
             .kill_on_drop(true)
             .spawn()
             .map_err(system("the program can't be started"))?;
@@ -119,6 +127,13 @@
         Ok(())
     }
 
+    /// Returns where the process writes its log.
+    fn log(&self) -> Result<Stdio, NotRun> {
+        let Some(path) = &self.setup.log_file else { return Ok(Stdio::null()) };
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+        Ok(file.map_err(system("no log"))?.into())
+    }
+
     async fn until_up(&self) {
         while !self.is_up().await {
             sleep(Duration::from_millis(5)).await;
--- a/crates/soak/src/crowd/verdict.rs
+++ b/crates/soak/src/crowd/verdict.rs
@@ -69,6 +69,8 @@
     pub(super) answered: Option<Instant>,
     pub(super) ended: Instant,
     pub(super) end: End,
+    /// When bytes of the answer arrived last before its end.
+    pub(super) last_bytes: Option<Instant>,
     /// The client itself took its answer slowly.
     pub(super) is_taken_slowly: bool,
 }
@@ -223,7 +225,10 @@
     if !matches!(request.end, End::Whole | End::Broken) || is_excused || request.is_taken_slowly {
         return;
     }
-    let waited = run.last_event.map(|event| request.ended.saturating_duration_since(event));
+    // Of a sound stream all bytes are events: what its server has written long before may still be on its way.
+    let last_bytes = request.last_bytes.filter(|_| run.is_sound);
+    let waiting_since = run.last_event.into_iter().chain(last_bytes).max();
+    let waited = waiting_since.map(|since| request.ended.saturating_duration_since(since));
     if let Some(waited) = waited.filter(|waited| *waited > MAX_WAIT_AFTER_EVENT + OBSERVATION_SLACK) {
         let runs: Vec<String> = runs.iter().map(|run| run.described(request.sent)).collect();
         add(Rule::Left, format!("{}, {waited:?} after the last event; {}", described(), runs.join(", ")));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the fault matrix.
 
 use std::net::Ipv4Addr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -62,6 +63,9 @@
         /// The program under test
         #[arg(long, default_value = "target/release/birchspur", value_name = "PATH")]
         program: PathBuf,
+        /// Keeps the log of each process in this folder
+        #[arg(long, value_name = "FOLDER")]
+        keep: Option<PathBuf>,
     },
     /// A server or discovery of a play
     #[command(hide = true)]
@@ -114,8 +118,8 @@
             };
             return if served.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(NOT_RUN) };
         }
-        Command::Crowd { first, seeds, jobs, program } => {
-            return play_crowds(first, seeds, jobs, &program).await;
+        Command::Crowd { first, seeds, jobs, program, keep } => {
+            return play_crowds(first..first.saturating_add(seeds), jobs, &program, keep.as_deref()).await;
         }
         Command::Cell { name, how } => match parse(&name) {
             Ok(named) => play(&[named], &how).await,
@@ -137,11 +141,11 @@
 }
 
 /// Plays crowds, and prints each outcome with the seed that replays it.
-async fn play_crowds(first: u64, seeds: u64, jobs: usize, program: &Path) -> ExitCode {
+async fn play_crowds(seeds: Range<u64>, jobs: usize, program: &Path, keep: Option<&Path>) -> ExitCode {
+    let count = seeds.end - seeds.start;
     let (mut red, mut not_run) = (0, 0);
-    let mut plays = stream::iter(first..first.saturating_add(seeds))
-        .map(|seed| crowd::run(program, Play::of_seed(seed)))
-        .buffered(jobs.max(1));
+    let mut plays =
+        stream::iter(seeds).map(|seed| crowd::run(program, Play::of_seed(seed), keep)).buffered(jobs.max(1));
     while let Some(outcome) = plays.next().await {
         match outcome {
             Ok(outcome) => {
@@ -154,7 +158,7 @@
             }
         }
     }
-    eprintln!("{red} red, {not_run} not run, of {seeds}");
+    eprintln!("{red} red, {not_run} not run, of {count}");
     match (red, not_run) {
         (0, 0) => ExitCode::SUCCESS,
         (0, _) => ExitCode::from(NOT_RUN),
