Front: a head behind a request leaves that request's body and charge alone

Found by reading the change again: the charge of a head and the body that is arriving stand in one place for a connection, and a complete head cleared both. A pipelined head that is parsed while the body before it is still to be taken would have cut that body. It was not seen: a connection passes one head on in a turn, and the body is taken in the same turn (the new test, three bodies of 100,000 bytes in one write, was green before as well). A head now clears and charges only what is its own, and a connection whose request was shed reads no further heads, which it would have done again and again until its answer.

--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -405,7 +405,7 @@
         let mut pending = BytesMut::from(&head[..]);
         pending.extend_from_slice(&self.pending[head_length..]);
         self.pending = pending;
-        self.connection.arrival.clear();
+        self.connection.arrival.clear_head();
     }
 
     /// Adds what has been read to the pending head. Returns false if there is no memory for it.
@@ -473,6 +473,10 @@
                             continue;
                         }
                     }
+                    if gate.connection.arrival.is_shed() {
+                        // The connection ends with the answer that is owed for what it has sent.
+                        return Poll::Pending;
+                    }
                     let mut buffer = [0; READ_BYTES];
                     let mut read_buf = ReadBuf::new(&mut buffer);
                     if gate.pending.is_empty() && gate.connection.is_evicted() {
--- a/src/transport/memory.rs
+++ b/src/transport/memory.rs
@@ -261,9 +261,17 @@
 }
 
 impl ArrivingRequest {
-    /// Sets how large the head is that has arrived. If there is no room, the request is shed.
+    /// Sets how large the head is that has arrived. If there is no room, the request is shed. A head behind a body that is
+    /// still to be taken is not charged.
     pub fn resize_head(&self, bytes: usize) -> Result<(), OutOfMemory> {
-        self.resize(bytes)
+        if self.received_bytes() > 0 { Ok(()) } else { self.resize(bytes) }
+    }
+
+    /// Gives back what the head was charged, as it is complete.
+    pub fn clear_head(&self) {
+        if self.received_bytes() == 0 {
+            drop(self.end());
+        }
     }
 
     /// Appends a piece of a body of which `expected` bytes are declared, if its length is. If there is no room, the request
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -394,3 +394,27 @@
         assert!(reader.next().await.head.contains("late"));
     });
 }
+
+/// Failure: the body of a request loses its first part when another request is behind it.
+#[test]
+fn body_with_another_request_behind_it_is_passed_on_whole() {
+    story(async {
+        let (mut reader, mut writer, conductor) = pair().await;
+        let bodies = ["a", "b", "c"].map(|letter| letter.repeat(100_000));
+        let requests: String = bodies
+            .iter()
+            .enumerate()
+            .map(|(number, body)| platform_request(&format!("c{number}"), "ask", 4000, body))
+            .collect();
+        let mut client = Wire::connect(&conductor.front).await;
+        client.write(&requests).await;
+        for body in &bodies {
+            let mut seen = reader.next().await;
+            assert!(seen.body == *body, "{} bytes of {}", seen.body.len(), body.len());
+            seen.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
+            seen.go_on();
+            writer.writes().await;
+            client.rest_of_answer().await;
+        }
+    });
+}
