Ids: remember them also while memory is short

Cause: remembered ids asked for room like a request, and when there was none the oldest were forgotten, down to the one that was just added. Class: a promise was put among the things that may be shed.

The new unit test is red without the change.

--- a/src/transport/hub/ids.rs
+++ b/src/transport/hub/ids.rs
@@ -25,7 +25,8 @@
 pub(super) struct RequestIds {
     open: HashSet<String>,
     used: UsedIds,
-    /// What the used ids occupy.
+    memory: MemoryBudget,
+    /// What the used ids occupy. Their number is bounded, and they are needed most when memory is short.
     charge: Charge,
     /// Shared with the other process of a replacement.
     claims: Option<ClaimFolder>,
@@ -38,6 +39,7 @@
         RequestIds {
             open: HashSet::new(),
             used: UsedIds::default(),
+            memory: memory.clone(),
             charge: memory.charge_unconditionally(0),
             claims: None,
             is_unavailable: false,
@@ -82,12 +84,11 @@
     /// Remembers that the open request with this id may have run, and must not run again from `blocked_from` on.
     pub(super) fn remember(&mut self, now: Micros, id: &str, blocked_from: Micros) {
         let forgotten = self.used.remember(now, IdDigest(digest(id)), blocked_from);
-        self.release_claims(forgotten);
-        while self.charge.resize(self.used.len() * ID_BYTES).is_err() {
-            let forgotten = self.used.forget_oldest();
+        if forgotten.is_some() {
             tracing::warn!(target: "birchspur::memory", "an id that must not run again is forgotten early");
-            self.release_claims(forgotten);
         }
+        self.release_claims(forgotten);
+        self.charge = self.memory.charge_unconditionally(self.used.len() * ID_BYTES);
     }
 
     /// Closes the request with this id. Unless it is remembered, the id may be used again.
@@ -110,3 +111,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
