Deliveries: the result of a raised call reaches its server, whatever connections do

Cause: the result was one send on any kept connection, whose failure nobody owned. The same class, each lost on the build before: the server refuses connections, is busy or silent; attempts use all connections; the client does not read, as one loop served both; the server has answered its own call, upon which the hub had forgotten it; the client leaves after that; SIGTERM; a raised call that can't be read; by reading, a full inbox of the peer's actor (also for its new address) and a raised call for which there was no memory.

Change: the promise has an owner from the raise on (relay::nested::PromisedResult) and is kept by a delivery (transport::delivery, decisions in recovery::DeliverySchedule): new connections out of a reserve, tries until the server takes it, turns it away, is gone, or the time of the call is over; one outcome each, counted and logged. Tries are bounded over all servers and for each, one at a time to a server that does not answer; results are charged to what their outcome was charged; 32 raised calls of one answer are open at most. A raised call has a little less time than the call above it, so that its end can be told. Server addresses are a shared value instead of a message.

`either` and `result` of tests/rpc.rs moved to tests/peers.

--- a/src/program/life.rs
+++ b/src/program/life.rs
@@ -140,7 +140,10 @@
         let memory_mb = operator.memory_mb.unwrap_or(f64::INFINITY).min(config.limits.memory_mb);
         let limits = MachineLimits { memory_mb, ..config.limits };
         let socket = if accept.is_some() { Socket::Shared } else { Socket::Own };
-        let budget = Budget::new(limits, socket, clock);
+        let budget = match operator.rpc {
+            Some(_) => Budget::with_tool_calls(limits, socket, clock),
+            None => Budget::new(limits, socket, clock),
+        };
         let (settings, links) = (config.settings.settings()?, config.settings.links()?);
         let mut classes = settings.classes.clone();
         let kill_after = earliest_kill(classes.iter().map(|class| class.deadline).max().unwrap_or(0));
--- a/src/program/plugin.rs
+++ b/src/program/plugin.rs
@@ -43,7 +43,7 @@
     pub async fn start(rpc: Rpc, name: &str, seed: u64, sockets: usize) -> Result<Self, ProgramError> {
         let clock = Clock::start();
         let limits = MachineLimits { sockets, memory_mb: DEFAULT_MEMORY_MB };
-        let budget = Budget::new(limits, Socket::Own, clock);
+        let budget = Budget::with_tool_calls(limits, Socket::Own, clock);
         let mut core = Core::default();
         let pool = core.add_pool(rpc.settings.clone(), seed, clock.now())?;
         let (mut actor, hub) = hub::new(core, clock, budget);
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -1,8 +1,9 @@
 //! Taking the process out of service and back, its shutdown, the pacing of calls to discovery, the release of what
-//! servers hold for a request, whether a server's answer goes on, which ids must not run again, and what a tool call that broke off may have done. These
-//! are state machines without I/O and without a clock: they are given events and the time, and return what has to be done.
+//! servers hold for a request, whether a server's answer goes on, the delivery of what a server has been promised, which
+//! ids must not run again, and what a tool call that broke off may have done. These are state machines without I/O and without a clock: they are given events and the time, and return what has to be done.
 
 mod answer;
+mod delivery;
 mod drain;
 mod effects;
 mod held;
@@ -11,6 +12,7 @@
 mod used_ids;
 
 pub use answer::{AnswerProgress, Arrived};
+pub use delivery::{DeliveryOutcome, DeliverySchedule, DeliveryStep, TryOutcome};
 pub use drain::{AlreadyTerminating, Call, ConnectionId, Drain, Input, Output, Phase, Socket, earliest_kill};
 pub use effects::{CallEffects, EffectsRuledOut};
 pub use held::{DueRelease, HeldState};
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -24,6 +24,10 @@
 
 /// One in so many connections to peers is reserved for release calls.
 const RELEASE_CONNECTIONS_PART: usize = 8;
+/// One in so many connections to peers is reserved for messages that servers have been promised.
+const DELIVERY_CONNECTIONS_PART: usize = 8;
+/// The most of these connections.
+const MAX_DELIVERY_CONNECTIONS: usize = 64;
 
 /// The connections that fronts and peers may open, and the memory that all of the program may use.
 #[derive(Clone, Debug)]
@@ -34,6 +38,8 @@
     pub peers: PeerBudgets,
     /// How many release calls may be in flight. So many connections are reserved for them.
     pub max_release_calls: usize,
+    /// How many messages that servers have been promised may be on their way. So many connections are reserved for them.
+    pub max_delivery_tries: usize,
     /// Memory.
     pub memory: MemoryBudget,
 }
@@ -42,6 +48,23 @@
     /// Splits the descriptors of these limits, or as many as the system allows this process if that is less. `socket` says
     /// whether the clients' listening socket is shared with other processes.
     pub fn new(limits: MachineLimits, socket: Socket, clock: Clock) -> Self {
+        Self::split(limits, socket, clock, |_| 0)
+    }
+
+    /// Does the same for a program that relays tool calls, and so posts messages to servers.
+    pub fn with_tool_calls(limits: MachineLimits, socket: Socket, clock: Clock) -> Self {
+        let deliveries =
+            |max_peers: usize| (max_peers / DELIVERY_CONNECTIONS_PART).clamp(1, MAX_DELIVERY_CONNECTIONS);
+        Self::split(limits, socket, clock, deliveries)
+    }
+
+    /// Splits the limits. `deliveries` says how many of all connections to peers are for messages that are posted.
+    fn split(
+        limits: MachineLimits,
+        socket: Socket,
+        clock: Clock,
+        deliveries: impl FnOnce(usize) -> usize,
+    ) -> Self {
         let sockets = limits.sockets;
         let allowed = system_limit().map_or(sockets, |limit| sockets.min(limit.max(MIN_SOCKETS)));
         if allowed < sockets {
@@ -55,14 +78,16 @@
         let max_fronts = fronts.min(affordable(FRONT_MEMORY_SHARE, CONNECTION_BYTES));
         let max_peers = available - fronts;
         let max_release_calls = (max_peers / RELEASE_CONNECTIONS_PART).clamp(1, DEFAULT_MAX_CALLS);
-        let max_attempts = (max_peers - max_release_calls).max(1);
+        let max_delivery_tries = deliveries(max_peers);
+        let max_attempts = max_peers.saturating_sub(max_release_calls + max_delivery_tries).max(1);
         let max_attempts = max_attempts.min(affordable(PEER_MEMORY_SHARE, PEER_CONNECTION_BYTES));
         let peers = PeerBudgets {
             attempts: ConnectionBudget::new(max_attempts).charged_to(memory.clone()),
             reserved: ConnectionBudget::new(max_release_calls).charged_to(memory.clone()).waiting(),
+            deliveries: ConnectionBudget::new(max_delivery_tries).charged_to(memory.clone()).waiting(),
         };
         let fronts = Connections::new(max_fronts, socket, clock, memory.clone());
-        Budget { fronts, peers, max_release_calls, memory }
+        Budget { fronts, peers, max_release_calls, max_delivery_tries, memory }
     }
 }
 
--- a/src/transport/front/platform/tests.rs
+++ b/src/transport/front/platform/tests.rs
@@ -17,7 +17,7 @@
             let event = Bytes::from_static(b"data: 1\n\n");
             sender.try_send(Part::Data(event)).expect("the channel has capacity");
             let events = EventBody {
-                body: Body { content_type: None, parts },
+                body: Body { content_type: None, parts, server: None },
                 broken_off: false,
                 _request_handle: (),
             };
--- a/src/transport/hub/message.rs
+++ b/src/transport/hub/message.rs
@@ -13,6 +13,7 @@
 use crate::protocol::figures::Metric;
 use crate::routing::{Admission, ClassTotals, Input, PoolId, Totals};
 use crate::transport::budget::Budget;
+use crate::transport::delivery::{Deliveries, DeliveryTotals, PostTarget};
 use crate::transport::memory::Charge;
 
 /// The message that is sent to a server. It is the same for each attempt of a request.
@@ -64,6 +65,8 @@
     pub content_type: Option<HeaderValue>,
     /// The parts of the answer.
     pub parts: mpsc::Receiver<Part>,
+    /// The server that answers, if messages may be posted to it while it does.
+    pub server: Option<Arc<dyn PostTarget>>,
 }
 
 /// The single reply to a request.
@@ -101,8 +104,6 @@
     Input(Input),
     /// The members of a pool from now on.
     List(PoolId, Arc<Generation>),
-    /// Posts a message to the server that owns a request, which is the one whose answer the client gets.
-    PostToOwner(RequestId, Arc<Payload>),
     /// Asks for the counters.
     GetCounters(oneshot::Sender<Counters>),
     /// Asks to be told once no request is open and nothing is left to release.
@@ -120,6 +121,8 @@
     pub charged_memory: u64,
     /// How many requests were shed while they arrived, to make room for others.
     pub shed_requests: u64,
+    /// What has become of the messages that servers have been promised.
+    pub deliveries: DeliveryTotals,
 }
 
 impl Counters {
@@ -135,6 +138,8 @@
         let Totals { open, known, avoided, .. } = self.totals;
         let Totals { release_calls, release_calls_failed, .. } = self.totals;
         let Totals { release_calls_in_flight, releases_waiting, .. } = self.totals;
+        let DeliveryTotals { delivered, rejected, expired, server_gone, tries, in_progress } =
+            self.deliveries;
         let counters = [
             ("upstream_tries", written),
             ("unreachable_tries", unreachable),
@@ -144,6 +149,11 @@
             ("shed_requests", self.shed_requests),
             ("release_calls", release_calls),
             ("failed_release_calls", release_calls_failed),
+            ("delivered_posts", delivered),
+            ("rejected_posts", rejected),
+            ("expired_posts", expired),
+            ("posts_to_gone_servers", server_gone),
+            ("post_tries", tries),
         ];
         figures.extend(counters.map(|(name, count)| Metric::counter(name, count)));
         let levels = [
@@ -153,6 +163,7 @@
             ("charged_memory", self.charged_memory),
             ("release_calls_in_progress", release_calls_in_flight),
             ("waiting_releases", releases_waiting),
+            ("posts_in_progress", in_progress),
         ];
         figures.extend(levels.map(|(name, level)| Metric::gauge(name, level)));
         figures
@@ -182,6 +193,7 @@
     inbox: mpsc::Sender<Message>,
     next_id: Arc<AtomicU64>,
     budget: Budget,
+    deliveries: Arc<Deliveries>,
 }
 
 /// Stands for an open request; dropping it reports that the request's client has left.
@@ -200,7 +212,8 @@
 impl Hub {
     /// Creates a handle that sends to this inbox.
     pub(super) fn new(inbox: mpsc::Sender<Message>, budget: Budget) -> Self {
-        Hub { inbox, next_id: Arc::default(), budget }
+        let deliveries = Arc::new(Deliveries::new(budget.max_delivery_tries));
+        Hub { inbox, next_id: Arc::default(), budget, deliveries }
     }
 
     /// Sends a message to the hub, and waits while its inbox is full.
@@ -232,9 +245,9 @@
         self.send_detached(Message::Input(Input::RefusedByFront(pool, class)));
     }
 
-    /// Posts a message to the server whose answer is being passed on. Nothing is sent if that answer has ended.
-    pub async fn post_to_owner(&self, handle: &RequestHandle, payload: Payload) {
-        self.send(Message::PostToOwner(handle.id, Arc::new(payload))).await;
+    /// Returns what all deliveries share.
+    pub fn deliveries(&self) -> &Arc<Deliveries> {
+        &self.deliveries
     }
 
     /// Returns the counters.
@@ -243,7 +256,8 @@
         self.send(Message::GetCounters(sender)).await;
         let counters = receiver.await.unwrap_or_default();
         let memory = &self.budget.memory;
-        Counters { charged_memory: memory.used() as u64, shed_requests: memory.shed_count(), ..counters }
+        let (charged_memory, shed_requests) = (memory.used() as u64, memory.shed_count());
+        Counters { charged_memory, shed_requests, deliveries: self.deliveries.totals(), ..counters }
     }
 
     /// Waits until no request is open and nothing is left to release, whether or not a client waits for it.
--- a/src/transport/hub/mod.rs
+++ b/src/transport/hub/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use self::ids::{IdInUse, Repeats, RequestIds};
 use self::message::{Body, Counters, Hub, Message, Payload, Reply};
@@ -35,8 +35,6 @@
     /// The peer of each attempt, in the order of the attempts. It can still be reached here after the list of servers
     /// has dropped it.
     attempt_peers: Vec<(u32, mpsc::Sender<PeerMessage>)>,
-    /// The peer whose answer the client gets.
-    owner: Option<mpsc::Sender<PeerMessage>>,
 }
 
 impl OpenRequest {
@@ -48,7 +46,8 @@
 /// A member of a pool, and its actor if that has been started.
 struct PeerEntry {
     name: Arc<str>,
-    address: Arc<str>,
+    /// The address, for the peer's actor and for those who post messages to it. They are told of its end.
+    address: watch::Sender<Arc<str>>,
     /// The inbox of the peer's actor, once that has been needed.
     inbox: Option<mpsc::Sender<PeerMessage>>,
 }
@@ -64,7 +63,7 @@
 impl Pool {
     fn peer(&mut self, server: ServerId) -> Option<mpsc::Sender<PeerMessage>> {
         let peer = self.peers.get_mut(&server)?;
-        let start = || peer::start(self.context.clone(), server, peer.address.to_string());
+        let start = || peer::start(self.context.clone(), server, peer.address.subscribe());
         Some(peer.inbox.get_or_insert_with(start).clone())
     }
 }
@@ -167,7 +166,6 @@
                     reply: Some(reply),
                     answers: Vec::new(),
                     attempt_peers: Vec::new(),
-                    owner: None,
                 };
                 self.requests.insert(admission.request.id, open);
                 self.core.handle(now, Input::Request(*admission), outputs);
@@ -185,12 +183,6 @@
                 let update = ListUpdate { scope: ListScope::Full, entries };
                 self.core.handle(now, Input::List(pool, generation.number, update), outputs);
             }
-            Message::PostToOwner(request, payload) => {
-                if let Some(owner) = self.requests.get(&request).and_then(|open| open.owner.as_ref()) {
-                    // If the inbox is full, the server would not get the message in time anyway.
-                    let _ = owner.try_send(PeerMessage::Post(payload));
-                }
-            }
             Message::NotifyWhenIdle(waiter) => self.idle_waiters.push(waiter),
             Message::GetCounters(sender) => {
                 let _ = sender.send(self.counters(now));
@@ -214,24 +206,23 @@
     }
 
     /// Updates the peers of a pool to a new generation. The actors of peers that are gone end by themselves, as their
-    /// inbox closes; those of peers that have moved are sent the new address.
+    /// inbox closes; those of peers that have moved see the new address.
     fn update_peers(&mut self, pool: PoolId, generation: &Generation) {
         let Some(pool) = self.pools.get_mut(usize::from(pool.0)) else { return };
         let mut previous = std::mem::take(&mut pool.peers);
         pool.peers.reserve(generation.members.len());
         for member in &generation.members {
             let id = member.entry.id;
-            let mut peer = previous.remove(&id).unwrap_or_else(|| PeerEntry {
+            let peer = previous.remove(&id).unwrap_or_else(|| PeerEntry {
                 name: member.name.clone(),
-                address: member.address.clone(),
+                address: watch::Sender::new(member.address.clone()),
                 inbox: None,
             });
-            if peer.address != member.address {
-                peer.address = member.address.clone();
-                if let Some(inbox) = &peer.inbox {
-                    let _ = inbox.try_send(PeerMessage::Moved(member.address.to_string()));
-                }
-            }
+            peer.address.send_if_modified(|address| {
+                let has_moved = *address != member.address;
+                address.clone_from(&member.address);
+                has_moved
+            });
             pool.peers.insert(id, peer);
         }
     }
@@ -276,7 +267,6 @@
             }
             Output::Relay(request, attempt) => {
                 let Some(open) = self.requests.get_mut(&request) else { return };
-                open.owner = open.peer_of(attempt);
                 let Some(i) = open.answers.iter().position(|(number, _)| *number == attempt) else { return };
                 let (_, body) = open.answers.swap_remove(i);
                 // The request is not sent again, so its body need not be kept until the answer ends.
@@ -346,7 +336,8 @@
 
     fn log_ejected(&self, pool: PoolId, server: ServerId) {
         let peer = self.pools.get(usize::from(pool.0)).and_then(|pool| pool.peers.get(&server));
-        let (name, address) = peer.map_or(("", ""), |peer| (&*peer.name, &*peer.address));
+        let address = peer.map(|peer| peer.address.borrow().clone());
+        let (name, address) = (peer.map_or("", |peer| &*peer.name), address.as_deref().unwrap_or(""));
         tracing::info!(
             target: "birchspur::module",
             { server.name = name, server.address = address },
--- a/src/transport/memory.rs
+++ b/src/transport/memory.rs
@@ -267,11 +267,20 @@
 
 impl Charge {
     /// Adds the bytes of another charge.
-    fn absorb(&mut self, mut other: Charge) {
+    pub fn absorb(&mut self, mut other: Charge) {
         let more = std::mem::take(&mut other.holding);
         self.holding.bytes += more.bytes;
     }
 
+    /// Takes so many bytes out of this charge into one of their own. What it lacks is charged beside it.
+    pub fn split(&mut self, bytes: usize) -> Charge {
+        let taken = bytes.min(self.holding.bytes);
+        self.holding.bytes -= taken;
+        let mut part = Charge { budget: self.budget.clone(), holding: Holding::of_bytes(taken) };
+        part.absorb(self.budget.charge_unconditionally(bytes - taken));
+        part
+    }
+
     /// Gives back all bytes beyond these.
     fn shrink_to(&mut self, bytes: usize) {
         let excess = self.holding.bytes.saturating_sub(bytes);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod clock;
 pub mod collect;
+pub mod delivery;
 pub mod export;
 pub mod front;
 pub mod hub;
--- a/src/transport/peer/connector.rs
+++ b/src/transport/peer/connector.rs
@@ -59,6 +59,8 @@
     pub attempts: ConnectionBudget,
     /// Those for release calls while attempts use all of theirs.
     pub reserved: ConnectionBudget,
+    /// Those for messages that servers have been promised.
+    pub deliveries: ConnectionBudget,
 }
 
 /// The HTTP clients for the servers of a pool.
@@ -67,6 +69,7 @@
     pooled: PeerClient,
     unpooled: PeerClient,
     reserved: PeerClient,
+    deliveries: PeerClient,
 }
 
 impl Clients {
@@ -76,6 +79,7 @@
             pooled: client(links, budget.attempts.clone()),
             unpooled: client_with_max_idle(links, budget.attempts.clone(), 0),
             reserved: client_with_max_idle(links, budget.reserved.clone(), 0),
+            deliveries: client_with_max_idle(links, budget.deliveries.clone(), 0),
         }
     }
 
@@ -84,6 +88,11 @@
         &self.reserved
     }
 
+    /// Returns the client whose connections are reserved for messages that servers have been promised. Each goes on a new one.
+    pub fn deliveries(&self) -> &PeerClient {
+        &self.deliveries
+    }
+
     /// Returns the client that uses the connections of this choice.
     pub fn for_connection(&self, connection: ConnectionChoice) -> &PeerClient {
         match connection {
--- a/src/transport/peer/mod.rs
+++ b/src/transport/peer/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod connector;
 pub mod idle;
+mod post;
 mod relay;
 mod window;
 
@@ -15,7 +16,7 @@
 use http::header::HOST;
 use http::{HeaderMap, Method, Request, StatusCode};
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -23,6 +24,7 @@
 use self::idle::is_out_of_connections;
 use self::relay::AnswerRelay;
 use super::collect::collect;
+use super::delivery::PostGate;
 use super::hub::message::{Hub, Message, Payload};
 use crate::interface::*;
 use crate::protocol::platform;
@@ -66,8 +68,6 @@
     Send(Attempt),
     /// Close the connection of an attempt.
     Cancel(RequestId, u32, CancelReason),
-    /// Post a message whose answer does not matter.
-    Post(Arc<Payload>),
     /// Probe the server.
     Probe,
     /// Release what the server holds for the request under this id.
@@ -76,8 +76,6 @@
     Hold(RequestId, String),
     /// Close idle connections.
     CloseIdle,
-    /// Use this address from now on: the server has moved.
-    Moved(String),
 }
 
 /// An attempt to send.
@@ -142,10 +140,14 @@
     pub fields: Arc<[ReportField]>,
 }
 
+/// The address of a server, which may move. It closes once the server is no longer on the list.
+pub type PeerAddress = watch::Receiver<Arc<str>>;
+
 /// Starts the actor of a peer and returns its inbox.
-pub fn start(context: PeerContext, server: ServerId, address: String) -> mpsc::Sender<PeerMessage> {
+pub fn start(context: PeerContext, server: ServerId, address: PeerAddress) -> mpsc::Sender<PeerMessage> {
     let (sender, inbox) = mpsc::channel(MAILBOX_CAPACITY);
-    tokio::spawn(run(Peer { context, server, address }, inbox));
+    let post_gate = Arc::new(PostGate::new(context.hub.budget().max_delivery_tries));
+    tokio::spawn(run(Peer { context, server, address, post_gate }, inbox));
     sender
 }
 
@@ -153,7 +155,8 @@
 struct Peer {
     context: PeerContext,
     server: ServerId,
-    address: String,
+    address: PeerAddress,
+    post_gate: Arc<PostGate>,
 }
 
 /// Runs the actor until its inbox closes and the calls in progress have ended.
@@ -187,12 +190,6 @@
                     let _ = cancel.send(reason);
                 }
             }
-            Some(PeerMessage::Post(payload)) => {
-                calls.spawn(async move {
-                    task_peer.post(&payload).await;
-                    None
-                });
-            }
             Some(PeerMessage::Probe) => {
                 calls.spawn(async move {
                     task_peer.probe().await;
@@ -218,7 +215,6 @@
                 let PeerContext { links, ref hub, .. } = peer.context;
                 peer.context.clients = Clients::new(links, &hub.budget().peers);
             }
-            Some(PeerMessage::Moved(address)) => peer.address = address,
             // The list of servers has dropped the peer: the calls in progress are finished first.
             None => break,
         }
@@ -254,6 +250,11 @@
 }
 
 impl Peer {
+    /// Returns the server's present address.
+    fn address(&self) -> Arc<str> {
+        self.address.borrow().clone()
+    }
+
     async fn report(&self, input: Input) {
         self.context.hub.send(Message::Input(input)).await;
     }
@@ -267,7 +268,7 @@
             {
                 request.id = id.as_str(),
                 attempt = number,
-                server.address = self.address.as_str(),
+                server.address = &*self.address(),
                 generation = attempt.generation,
                 time_left_us = attempt.time_left,
                 ?connection
@@ -306,7 +307,7 @@
             {
                 request.id = id.as_str(),
                 attempt = number,
-                server.address = self.address.as_str(),
+                server.address = &*self.address(),
                 ?outcome,
                 ?evidence,
                 called_off = ?reason,
@@ -372,8 +373,9 @@
 
     /// Sets the request's URI and host header; returns `None` if the server's address is not valid.
     fn with_address<B>(&self, mut request: Request<B>, path: &str) -> Option<Request<B>> {
-        *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
-        request.headers_mut().insert(HOST, self.address.parse().ok()?);
+        let address = self.address();
+        *request.uri_mut() = format!("http://{address}{path}").parse().ok()?;
+        request.headers_mut().insert(HOST, address.parse().ok()?);
         Some(request)
     }
 
@@ -412,25 +414,6 @@
         (outcome, platform::report(text, &self.context.fields))
     }
 
-    /// Posts a message, and logs if it can't be delivered.
-    async fn post(&self, payload: &Payload) {
-        let Some(head) = self.with_address(payload.head(), &payload.path) else { return };
-        let (message, _tracker) = TrackedBody::attach(head, payload.body.clone(), Box::new(|| {}));
-        let time_limit = Duration::from_micros(self.context.links.idle);
-        let call = async {
-            let response =
-                self.context.clients.for_connection(ConnectionChoice::Any).request(message).await.ok()?;
-            collect(response.into_body(), MAX_REPLY_BYTES).await.ok()
-        };
-        if !matches!(tokio::time::timeout(time_limit, call).await, Ok(Some(_))) {
-            tracing::warn!(
-                server.address = self.address.as_str(),
-                request.id = payload.id.as_str(),
-                "failed to post a message to the server"
-            );
-        }
-    }
-
     /// Asks the server to release what is held for a request, and reports whether it took the call.
     async fn release(&self, request: RequestId, id: &str, connection: ConnectionChoice) {
         let started = Instant::now();
@@ -446,7 +429,7 @@
             target: "birchspur::attempt",
             {
                 request.id = id,
-                server.address = self.address.as_str(),
+                server.address = &*self.address(),
                 ?status,
                 error = error.as_ref().map(tracing::field::display),
                 took_us = started.elapsed().as_micros() as u64
--- a/src/transport/peer/relay.rs
+++ b/src/transport/peer/relay.rs
@@ -1,6 +1,8 @@
 //! Relays the stream of one answer: passes its events on as they arrive and as fast as the client takes them, and ends it if
 //! it breaks, is spoilt or goes on no further.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
@@ -18,6 +20,7 @@
 use crate::protocol::platform;
 use crate::protocol::stream::{MalformedStream, StreamInspector};
 use crate::recovery::{AnswerProgress, Arrived};
+use crate::transport::delivery::PostTarget;
 use crate::transport::hub::message::{Body, Message, Part};
 use crate::transport::memory::PartialEvents;
 
@@ -104,7 +107,7 @@
                     target: "birchspur::attempt",
                     {
                         attempt = self.attempt,
-                        server.address = self.peer.address.as_str(),
+                        server.address = &*self.peer.address(),
                         received_bytes = self.received_bytes,
                         events = self.inspector.events,
                         reason
@@ -243,7 +246,11 @@
         }
         if let Some(parts) = self.receiver.take() {
             let (request, attempt) = (self.request, self.attempt);
-            let body = Body { content_type: self.content_type.take(), parts };
+            let server = match self.peer.context.dialect {
+                Dialect::Tools => Some(Arc::new(self.peer.clone()) as Arc<dyn PostTarget>),
+                Dialect::Platform => None,
+            };
+            let body = Body { content_type: self.content_type.take(), parts, server };
             self.peer.context.hub.send(Message::AnswerStarted { request, attempt, body }).await;
         }
         let sent_at = self.elapsed();
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -2,7 +2,9 @@
 //! the nested calls that the server makes in it. The core decides which server is called, and whether a call is sent
 //! again.
 
-use std::collections::{HashMap, HashSet};
+mod nested;
+
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,14 +13,16 @@
 use http::header::{ACCEPT, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method};
 use serde_json::Value;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
-use tokio::task::JoinSet;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
+use self::nested::{NestedCalls, PromisedResult, RaisingCall, nested_time_left};
+use super::delivery::{CallState, PostTarget};
 use super::hub::message::{Body, Hub, Part, Payload, Reply, RequestHandle};
 use super::memory::{Charge, MemoryBudget, PartialEvents, REQUEST_BYTES};
 use crate::interface::*;
+use crate::limits::memory::OutOfMemory;
 use crate::protocol::jsonrpc::{self, Events, Message, RpcError};
 use crate::protocol::platform::{self, MAX_BODY_BYTES};
 use crate::recovery::CallEffects;
@@ -200,7 +204,9 @@
                         client_id,
                         session,
                         id: id.clone(),
-                        request_handle,
+                        server: body.server.clone(),
+                        state: watch::Sender::new(CallState::Open),
+                        _request_handle: request_handle,
                         to_client,
                         nesting: nesting.clone(),
                         expires_at,
@@ -214,16 +220,22 @@
         })
     }
 
-    /// Returns the payload that carries a message to a tool server.
+    /// Returns the payload that carries a call to a tool server.
     fn payload(&self, id: &str, body: Bytes) -> Payload {
+        let headers = Self::headers(id);
+        let (id, path) = (id.to_string(), self.path.to_string());
+        Payload { id, method: Method::POST, path, headers, body, memory: None }
+    }
+
+    /// Returns the headers of a message to a tool server that belongs to the call under this id.
+    fn headers(id: &str) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(ACCEPT, HeaderValue::from_static("application/json, text/event-stream"));
         if let Ok(id) = id.parse() {
             headers.insert(platform::ID, id);
         }
-        let (id, path) = (id.to_string(), self.path.to_string());
-        Payload { id, method: Method::POST, path, headers, body, memory: None }
+        headers
     }
 
     /// Returns the memory budget.
@@ -246,10 +258,18 @@
 enum AnswerFailure {
     /// It ended or can't be read.
     Broken,
+    /// There was no memory to read it.
+    OutOfMemory,
     /// The deadline passed.
     Late,
 }
 
+impl From<OutOfMemory> for AnswerFailure {
+    fn from(_: OutOfMemory) -> Self {
+        AnswerFailure::OutOfMemory
+    }
+}
+
 impl Nesting {
     /// Returns what the caller is told of a failed answer. Calls below this one may still run, so the promise that nothing
     /// took effect is made only if it can be kept.
@@ -262,7 +282,7 @@
         );
         let error = match failure {
             _ if !had_no_effect => RpcError::MayHaveRun,
-            AnswerFailure::Broken => RpcError::Failed,
+            AnswerFailure::Broken | AnswerFailure::OutOfMemory => RpcError::Failed,
             AnswerFailure::Late => RpcError::Deadline,
         };
         error.into()
@@ -276,34 +296,34 @@
     client_id: Value,
     session: Option<SessionKey>,
     id: String,
-    request_handle: RequestHandle,
+    /// The server that answers.
+    server: Option<Arc<dyn PostTarget>>,
+    /// Whether it still answers.
+    state: watch::Sender<CallState>,
+    _request_handle: RequestHandle,
     to_client: ClientSender,
     nesting: Nesting,
     expires_at: Instant,
 }
 
-/// The nested calls that a server has made in its answer.
-#[derive(Default)]
-struct NestedCalls {
-    open: JoinSet<(Value, CallOutcome)>,
-    /// The ids of all nested calls so far, as text. A call whose id is repeated in the answer must not run again.
-    seen_ids: HashSet<String>,
-}
-
 impl AnswerStream {
     /// Follows the answer up to the call's response. Nested calls run to their own end in any case.
     async fn follow(self, body: Body) -> Result<CallOutcome, AnswerFailure> {
         let mut nested = NestedCalls::default();
         let result = self.read(body, &mut nested).await;
+        self.state.send_replace(match result {
+            Err(AnswerFailure::Broken) => CallState::BrokenOff,
+            _ => CallState::Ended,
+        });
         if !nested.open.is_empty() {
             self.relay.unattended.clone().spawn(self.finish_nested(nested));
         }
-        result.ok_or(AnswerFailure::Broken)
+        result
     }
 
-    /// Reads the answer up to the call's response, and starts the nested calls in it. Returns `None` if the answer ends
-    /// or can't be read before the response.
-    async fn read(&self, mut body: Body, nested: &mut NestedCalls) -> Option<CallOutcome> {
+    /// Reads the answer up to the call's response, and starts the nested calls in it. Fails if the answer ends or can't be
+    /// read before the response.
+    async fn read(&self, mut body: Body, nested: &mut NestedCalls) -> Result<CallOutcome, AnswerFailure> {
         let is_event_stream = body
             .content_type
             .as_ref()
@@ -311,50 +331,85 @@
         let (mut event_reader, mut buffer) = (Events::default(), Vec::new());
         let mut buffered = PartialEvents::new(self.relay.memory());
         loop {
-            buffered.resize(event_reader.buffered_bytes() + buffer.capacity()).await.ok()?;
+            buffered.resize(event_reader.buffered_bytes() + buffer.capacity()).await?;
             let part = tokio::select! {
-                part = body.parts.recv() => part?,
+                part = body.parts.recv() => part.ok_or(AnswerFailure::Broken)?,
                 Some(Ok((id, outcome))) = nested.open.join_next() => {
-                    self.return_result(id, outcome).await;
+                    self.report_result(&id, outcome).await;
                     continue;
                 }
             };
             match part {
                 Part::Data(bytes) if is_event_stream => {
-                    for text in event_reader.feed(&bytes)? {
-                        if let Some(result) = self.handle_message(nested, &text).await {
-                            return Some(result);
+                    for text in event_reader.feed(&bytes).ok_or(AnswerFailure::Broken)? {
+                        if let Some(result) = self.handle_message(nested, &text).await? {
+                            return Ok(result);
                         }
                     }
                 }
-                Part::Data(bytes) if buffer.len() + bytes.len() > MAX_ANSWER_BYTES => return None,
+                Part::Data(bytes) if buffer.len() + bytes.len() > MAX_ANSWER_BYTES => {
+                    return Err(AnswerFailure::Broken);
+                }
                 Part::Data(bytes) => buffer.extend_from_slice(&bytes),
-                Part::End if is_event_stream => return None,
-                Part::End => return self.handle_message(nested, std::str::from_utf8(&buffer).ok()?).await,
+                Part::End if is_event_stream => return Err(AnswerFailure::Broken),
+                Part::End => {
+                    let text = std::str::from_utf8(&buffer).map_err(|_| AnswerFailure::Broken)?;
+                    return self.handle_message(nested, text).await?.ok_or(AnswerFailure::Broken);
+                }
             }
         }
     }
 
-    /// Handles one message of the server; returns the call's result if the message is its response, or if the message
-    /// can't be read.
-    async fn handle_message(&self, nested: &mut NestedCalls, text: &str) -> Option<CallOutcome> {
+    /// Handles one message of the server; returns the call's result if the message is its response. What is no JSON is
+    /// ignored.
+    async fn handle_message(
+        &self,
+        nested: &mut NestedCalls,
+        text: &str,
+    ) -> Result<Option<CallOutcome>, AnswerFailure> {
         let parsed_bytes = jsonrpc::parsed_size_bound(text.as_bytes());
-        let memory = self.relay.memory().charge_answer_in_progress(parsed_bytes).await.ok()?;
-        match jsonrpc::message(serde_json::from_str(text).ok()?).ok()? {
-            Message::Response { id, result } if id == self.id.as_str() => {
-                return Some(CallOutcome { result, memory: Some(memory) });
+        let mut memory = self.relay.memory().charge_answer_in_progress(parsed_bytes).await?;
+        let Ok(value) = serde_json::from_str(text) else { return Ok(None) };
+        match jsonrpc::message(value) {
+            Ok(Message::Response { id, result }) if id == self.id.as_str() => {
+                return Ok(Some(CallOutcome { result, memory: Some(memory) }));
             }
             // A response to any other id is ignored.
-            Message::Response { .. } => {}
-            Message::Request { id: Some(id), method, params } => {
+            Ok(Message::Response { .. }) => {}
+            Ok(Message::Request { id: Some(id), method, params }) => {
                 self.relay_nested(nested, id, &method, (params, memory)).await;
             }
-            Message::Request { id: None, method, params } => {
+            Ok(Message::Request { id: None, method, params }) => {
                 let value = jsonrpc::notification(&method, &params);
                 let _ = self.to_client.send(ClientMessage { value, memory: Some(memory) }).await;
             }
+            // Only what has an id can be answered.
+            Err((Value::Null, _)) => {}
+            Err((id, error)) => {
+                if let Some(promise) = self.promise_result(nested, &id, &mut memory).await {
+                    self.refuse_nested(promise, id, error).await;
+                }
+            }
         }
-        None
+        Ok(None)
+    }
+
+    /// Promises the server the result of a nested call; returns `None` if its id has been seen before.
+    async fn promise_result(
+        &self,
+        nested: &mut NestedCalls,
+        id: &Value,
+        memory: &mut Charge,
+    ) -> Option<PromisedResult> {
+        let place = nested.register(id, memory).await?;
+        let call = RaisingCall {
+            relay: self.relay.clone(),
+            server: self.server.clone()?,
+            request_id: self.id.clone(),
+            expires_at: self.expires_at,
+            state: self.state.subscribe(),
+        };
+        Some(PromisedResult::new(call, id.clone(), place))
     }
 
     /// Relays a nested call of the server as a request of its own.
@@ -363,20 +418,29 @@
         nested: &mut NestedCalls,
         id: Value,
         method: &str,
-        (params, memory): (Value, Charge),
+        (params, mut memory): (Value, Charge),
     ) {
-        if !nested.seen_ids.insert(id.to_string()) {
-            return;
-        }
+        let Some(promise) = self.promise_result(nested, &id, &mut memory).await else { return };
         let (tool, nesting) = match self.admit_nested(method, &params) {
             Ok(admitted) => admitted,
-            Err(error) => return self.return_result(id, error.into()).await,
+            Err(error) => return self.refuse_nested(promise, id, error).await,
         };
-        let time_left = self.expires_at.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        let time_left = nested_time_left(self.expires_at.saturating_duration_since(Instant::now()));
         let call = Call { id: id.clone(), params, session: self.session, time_left: Some(time_left) };
         let call = ChargedCall { call, memory: Some(Arc::new(memory)) };
         let relayed = self.relay.clone().relay(call, tool, self.to_client.clone(), nesting);
-        nested.open.spawn(async move { (id, relayed.await) });
+        nested.open.spawn(async move {
+            let mut outcome = relayed.await;
+            promise.deliver(&mut outcome);
+            (id, outcome)
+        });
+    }
+
+    /// Refuses a nested call: tells the server and, on its stream, the client.
+    async fn refuse_nested(&self, promise: PromisedResult, id: Value, error: RpcError) {
+        let mut outcome = error.into();
+        promise.deliver(&mut outcome);
+        self.report_result(&id, outcome).await;
     }
 
     /// Decides whether a nested call may run, and returns its tool and its place among the nested calls.
@@ -402,12 +466,9 @@
         Ok((tool, Nesting { depth, effects }))
     }
 
-    /// Returns a nested call's result to the server under the server's own id, and reports it on the client's stream.
-    async fn return_result(&self, nested_id: Value, outcome: CallOutcome) {
-        let message = jsonrpc::response(&nested_id, &outcome.result).to_string().into_bytes();
-        let body = self.relay.memory().charge_unconditionally(message.len()).attach(message);
-        self.relay.hub.post_to_owner(&self.request_handle, self.relay.payload(&self.id, body)).await;
-        let value = jsonrpc::tool_result(&self.client_id, &nested_id, &outcome.result);
+    /// Reports a nested call's result on the client's stream.
+    async fn report_result(&self, nested_id: &Value, outcome: CallOutcome) {
+        let value = jsonrpc::tool_result(&self.client_id, nested_id, &outcome.result);
         let _ = self.to_client.send(ClientMessage { value, memory: outcome.memory }).await;
     }
 
@@ -417,7 +478,7 @@
             tokio::select! {
                 () = self.to_client.closed() => return,
                 joined = nested.open.join_next() => match joined {
-                    Some(Ok((id, outcome))) => self.return_result(id, outcome).await,
+                    Some(Ok((id, outcome))) => self.report_result(&id, outcome).await,
                     Some(Err(_)) => {}
                     None => return,
                 },
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -184,10 +184,43 @@
     pub address: String,
     seen: mpsc::UnboundedReceiver<Seen>,
     released: mpsc::UnboundedReceiver<String>,
+    senders: (mpsc::UnboundedSender<Seen>, mpsc::UnboundedSender<String>),
     listening: JoinHandle<()>,
     stopped: Option<Reserved>,
 }
 
+/// Serves a peer's connections. They end with the listener: one that was kept after a probe would outlive its process.
+async fn accept(
+    listener: TcpListener,
+    seen: mpsc::UnboundedSender<Seen>,
+    released: mpsc::UnboundedSender<String>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (seen, released) = (seen.clone(), released.clone());
+        connections.spawn(async move {
+            let mut wire = Wire { stream, ahead: Vec::new() };
+            loop {
+                let Some((head, body)) = wire.message().await else { return };
+                if head.starts_with("DELETE /kv/leases/") {
+                    wire.write("HTTP/1.1 204 No Content\r\n\r\n").await;
+                    let _ = released.send(head);
+                } else if head.starts_with("GET /alive") || head.starts_with("GET /metrics/load") {
+                    let report = "TEXT util=0.1, queue=0, x0=0.2";
+                    let length = report.len();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    wire.write(&(head + report)).await;
+                } else {
+                    let (back, again) = oneshot::channel();
+                    let _ = seen.send(Seen { head, body, wire, back });
+                    let Ok(same) = again.await else { return };
+                    wire = same;
+                }
+            }
+        });
+    }
+}
+
 impl Peer {
     /// Takes no more connections and drops those on which it waits for a request, as a process that has died;
     /// those of requests that the story has seen are the story's to drop.
@@ -203,34 +236,17 @@
         let address = listener.local_addr().expect("an address").to_string();
         let (seen, sees) = mpsc::unbounded_channel();
         let (released, releases) = mpsc::unbounded_channel();
-        let listening = tokio::spawn(async move {
-            // Connections end with the listener: one that was kept after a probe would outlive its process.
-            let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let (seen, released) = (seen.clone(), released.clone());
-                connections.spawn(async move {
-                    let mut wire = Wire { stream, ahead: Vec::new() };
-                    loop {
-                        let Some((head, body)) = wire.message().await else { return };
-                        if head.starts_with("DELETE /kv/leases/") {
-                            wire.write("HTTP/1.1 204 No Content\r\n\r\n").await;
-                            let _ = released.send(head);
-                        } else if head.starts_with("GET /alive") || head.starts_with("GET /metrics/load") {
-                            let report = "TEXT util=0.1, queue=0, x0=0.2";
-                            let length = report.len();
-                            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-                            wire.write(&(head + report)).await;
-                        } else {
-                            let (back, again) = oneshot::channel();
-                            let _ = seen.send(Seen { head, body, wire, back });
-                            let Ok(same) = again.await else { return };
-                            wire = same;
-                        }
-                    }
-                });
-            }
-        });
-        Peer { address, seen: sees, released: releases, listening, stopped: None }
+        let listening = tokio::spawn(accept(listener, seen.clone(), released.clone()));
+        let senders = (seen, released);
+        Peer { address, seen: sees, released: releases, senders, listening, stopped: None }
+    }
+
+    /// Takes connections again after it was stopped, at the same address.
+    pub async fn resume(&mut self) {
+        self.stopped = None;
+        let listener = TcpListener::bind(&self.address).await.expect("its own port");
+        let (seen, released) = self.senders.clone();
+        self.listening = tokio::spawn(accept(listener, seen, released));
     }
 
     pub async fn next(&mut self) -> Seen {
@@ -266,6 +282,19 @@
     }
 }
 
+/// The next request that comes to either of two peers.
+pub async fn either(a: &mut Peer, b: &mut Peer) -> Seen {
+    tokio::select! {
+        seen = a.next() => seen,
+        seen = b.next() => seen,
+    }
+}
+
+/// The JSON-RPC response with this result.
+pub fn result(id: &Value, result: Value) -> Value {
+    json!({"jsonrpc": "2.0", "id": id, "result": result})
+}
+
 /// Serves the next request with one event.
 pub async fn serve(reader: &mut Peer, writer: &mut Peer) {
     reader.reads().await;
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -192,7 +192,7 @@
         let (mut stream, _) = graphite.accept().await.expect("a connection");
         let mut lines = String::new();
         stream.read_to_string(&mut lines).await.expect("text");
-        assert_eq!(lines.lines().count(), 29, "nine of its own, six by class, fourteen more: {lines}");
+        assert_eq!(lines.lines().count(), 35, "nine of its own, six by class, twenty more: {lines}");
         let parts: Vec<&str> = lines.lines().next().expect("a line").split(' ').collect();
         assert_eq!(parts[..2], ["reli.n1.taken", "0"]);
         assert!(parts[2].parse::<u64>().is_ok_and(|at| at > 1_700_000_000), "{lines}");
@@ -205,7 +205,7 @@
             writer.write_all(b"0 Success: 1 value has been dispatched.\n").await.expect("it reads");
             seen.push(command);
         }
-        assert_eq!(seen.len(), 29);
+        assert_eq!(seen.len(), 35);
         assert!(seen[0].starts_with("PUTVAL \"n1/birchspur/derive-taken\" interval=60 "), "{}", seen[0]);
         assert!(seen[0].ends_with(":0") && seen[8].contains("/gauge-open\""), "{seen:?}");
 
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -17,17 +17,6 @@
     (a, b, conductor)
 }
 
-async fn either(a: &mut Peer, b: &mut Peer) -> Seen {
-    tokio::select! {
-        seen = a.next() => seen,
-        seen = b.next() => seen,
-    }
-}
-
-fn result(id: &Value, result: Value) -> Value {
-    json!({"jsonrpc": "2.0", "id": id, "result": result})
-}
-
 async fn code(client: &mut Wire) -> i64 {
     client.event().await.expect("an answer")["error"]["code"].as_i64().expect("a code")
 }
