Memory: the budget leaves as much for the program as its code takes

Cause: 10 MB stood for the program, however large its code. The release build has 7.4 MB.

Change: the size of the executable's mappings is read at the start; they and 2.5 MB are left for the program, or 10 MB as before if that is more, which it is for the release build.

--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -9,8 +9,10 @@
 
 use crate::interface::Micros;
 
-/// Bytes that the program takes without any load: code, runtime, core, lists of servers, log.
-const PROGRAM_BYTES: u64 = 10_000_000;
+/// The least that the program is taken to occupy without any load, in bytes: code, runtime, core, lists of servers, log.
+const MIN_PROGRAM_BYTES: u64 = 10_000_000;
+/// What it occupies besides its code, in bytes.
+const BESIDES_CODE_BYTES: u64 = 2_500_000;
 /// The allocator takes up to a quarter more than what is charged: rounding, and gaps between buffers.
 const CHARGED_SHARE: f64 = 0.8;
 /// The least limit with which clients can be served, in megabytes.
@@ -34,10 +36,12 @@
 /// What a connection to a server occupies, in bytes.
 pub const PEER_CONNECTION_BYTES: usize = 16 * 1024;
 
-/// Returns how many bytes may be charged in all if the process may use this many megabytes.
-pub fn capacity(memory_mb: f64) -> usize {
+/// Returns how many bytes may be charged in all if the process may use this many megabytes, and its code and constants take
+/// this many bytes. All of them may become resident under load.
+pub fn capacity(memory_mb: f64, code_bytes: u64) -> usize {
     let available = (memory_mb * BYTES_PER_MB) as u64;
-    (available.saturating_sub(PROGRAM_BYTES) as f64 * CHARGED_SHARE) as usize
+    let program_bytes = MIN_PROGRAM_BYTES.max(code_bytes + BESIDES_CODE_BYTES);
+    (available.saturating_sub(program_bytes) as f64 * CHARGED_SHARE) as usize
 }
 
 /// The budget has no room.
--- a/src/limits/memory/tests.rs
+++ b/src/limits/memory/tests.rs
@@ -142,3 +142,13 @@
         }
     }
 }
+
+/// Guards against a budget that leaves too little for the program where its code is larger than on other machines.
+#[test]
+fn larger_code_takes_its_bytes_from_the_budget() {
+    let usual = capacity(32.0, 7_000_000);
+    assert_eq!(usual, 17_600_000);
+    assert_eq!(capacity(32.0, 0), usual);
+    assert_eq!(capacity(32.0, 9_500_000), usual - 1_600_000);
+    assert_eq!(capacity(32.0, 40_000_000), 0);
+}
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -72,7 +72,7 @@
         }
         let available = allowed.saturating_sub(RESERVED_DESCRIPTORS);
         let fronts = (available as f64 * FRONT_SHARE) as usize;
-        let memory = MemoryBudget::new(memory::capacity(limits.memory_mb), clock);
+        let memory = MemoryBudget::new(memory::capacity(limits.memory_mb, code_bytes()), clock);
         let affordable =
             |share: f64, bytes: usize| ((memory.capacity() as f64 * share) as usize / bytes).max(1);
         let max_fronts = fronts.min(affordable(FRONT_MEMORY_SHARE, CONNECTION_BYTES));
@@ -91,6 +91,21 @@
     }
 }
 
+/// Returns how many bytes of this process are mapped from its own executable; 0 if that can't be read.
+fn code_bytes() -> u64 {
+    let Ok(executable) = std::env::current_exe() else { return 0 };
+    let maps = std::fs::read_to_string("/proc/self/maps").unwrap_or_default();
+    let of_executable = maps.lines().filter(|line| line.ends_with(&*executable.to_string_lossy()));
+    of_executable.filter_map(mapping_bytes).sum()
+}
+
+/// Returns the size of a mapping in bytes, given its line, which begins with its bounds in hexadecimal digits.
+fn mapping_bytes(line: &str) -> Option<u64> {
+    let (bounds, _) = line.split_once(' ')?;
+    let (start, end) = bounds.split_once('-')?;
+    u64::from_str_radix(end, 16).ok()?.checked_sub(u64::from_str_radix(start, 16).ok()?)
+}
+
 /// Returns the system's limit on open files of this process, if it can be read. Beyond that limit nothing can be
 /// opened, neither for clients nor for discovery.
 fn system_limit() -> Option<usize> {
