Soak: a request of a crowd has the class that its id names

Cause, from the kept logs: each of the ids looked at is one request with two fetches, the first called off as not written in time though it was written, which a look-up may be followed by. These sent class `ask` under whatever id they had drawn, and the judge takes ids that begin with `book` for bookings. So it is neither an id that came again nor the judge's account of lives, the two guesses so far.

Change: the class is made out of the id, so that they can't differ; a quarter of the requests with many fields are bookings now, where none was: stricter. A unit test holds it (it needs the new signature, so it was not run on the old code).

--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -54,8 +54,14 @@
     }
 }
 
-/// Returns the text of a request.
-pub(super) fn request_text(id: &str, class: &str, time_left_ms: u64, body: &str) -> String {
+/// Returns the class that a request's id names. Runs are judged by it.
+fn class_of(id: &str) -> &str {
+    id.split('-').next().unwrap_or(id)
+}
+
+/// Returns the text of a request of the class that its id names.
+pub(super) fn request_text(id: &str, time_left_ms: u64, body: &str) -> String {
+    let class = class_of(id);
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\n\
          X-Service-Class: {class}\r\nX-Session-Key: s-{id}\r\nX-Time-Left-Ms: {time_left_ms}\r\n\
@@ -88,11 +94,11 @@
             let class = if self.kind == Kind::Leaver || self.rng.u8(..4) == 0 { "book" } else { "ask" };
             let id = format!("{class}-{}-{}", self.number, self.requests);
             match self.kind {
-                Kind::Usual => self.ask(&id, class, "{}", Duration::ZERO).await,
-                Kind::InPieces => self.send_in_pieces(&id, class, MAX_BODY).await,
-                Kind::Half => self.send_in_pieces(&id, class, MAX_BODY / 2).await,
+                Kind::Usual => self.ask(&id, "{}", Duration::ZERO).await,
+                Kind::InPieces => self.send_in_pieces(&id, MAX_BODY).await,
+                Kind::Half => self.send_in_pieces(&id, MAX_BODY / 2).await,
                 Kind::ManyFields => self.send_many_fields(&id).await,
-                Kind::SlowTaker => self.ask(&id, class, "{}", Duration::from_millis(300)).await,
+                Kind::SlowTaker => self.ask(&id, "{}", Duration::from_millis(300)).await,
                 Kind::Leaver => self.leave_and_come_back(&id).await,
                 Kind::Flood => self.flood().await,
             }
@@ -101,8 +107,8 @@
 
     /// Sends a request on the kept connection, and reads its answer with this pause between reads. A request that meets the
     /// end of a kept connection is sent once more on a new one, under a new id: it may not have been read.
-    async fn ask(&mut self, id: &str, class: &str, body: &str, pause: Duration) {
-        let text = request_text(id, class, 2000, body);
+    async fn ask(&mut self, id: &str, body: &str, pause: Duration) {
+        let text = request_text(id, 2000, body);
         if let Some(wire) = self.wire.take()
             && !self.exchange(wire, id, &text, pause, true).await
         {
@@ -113,7 +119,7 @@
         }
         let Some(wire) = self.process.connect().await else { return };
         let again = format!("{id}-new");
-        let text = request_text(&again, class, 2000, body);
+        let text = request_text(&again, 2000, body);
         self.exchange(wire, &again, &text, pause, false).await;
     }
 
@@ -156,9 +162,9 @@
     }
 
     /// Sends this many bytes of a request with the largest body, in pieces.
-    async fn send_in_pieces(&mut self, id: &str, class: &str, bytes: usize) {
+    async fn send_in_pieces(&mut self, id: &str, bytes: usize) {
         let Some(wire) = self.process.connect().await else { return };
-        let text = request_text(id, class, 2000, &"x".repeat(MAX_BODY));
+        let text = request_text(id, 2000, &"x".repeat(MAX_BODY));
         let piece = [1, 100, 536, 1_400, 65_536][self.rng.usize(..5)];
         // Single bytes are sent for as long as a request may take.
         let pause = Duration::from_millis(if piece < 200 { 2 } else { 4 });
@@ -186,14 +192,14 @@
         let Some(wire) = self.process.connect().await else { return };
         let fields: String =
             (0..90).map(|number| format!("X-{number:02}: {}\r\n", "v".repeat(150))).collect();
-        let text = request_text(id, "ask", 2000, "{}").replacen("\r\n", &format!("\r\n{fields}"), 1);
+        let text = request_text(id, 2000, "{}").replacen("\r\n", &format!("\r\n{fields}"), 1);
         self.exchange(wire, id, &text, Duration::ZERO, false).await;
         self.wire = None;
     }
 
     /// Books, leaves after a while, and comes back with the same id.
     async fn leave_and_come_back(&mut self, id: &str) {
-        let text = request_text(id, "book", 2000, "{}");
+        let text = request_text(id, 2000, "{}");
         let Some(mut wire) = self.process.connect().await else { return };
         if wire.write_all(text.as_bytes()).await.is_err() {
             return;
@@ -301,3 +307,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against look-ups under ids of bookings: a look-up may run twice, and would be judged as a booking that did.
+    #[test]
+    fn request_has_the_class_that_its_id_names() {
+        for (id, class) in [("book-7-1", "book"), ("ask-7-2", "ask"), ("ask-7-2-again", "ask")] {
+            let text = request_text(id, 2000, "{}");
+            assert!(text.contains(&format!("X-Service-Class: {class}\r\n")), "{text}");
+        }
+    }
+}
--- a/crates/soak/src/crowd/process.rs
+++ b/crates/soak/src/crowd/process.rs
@@ -232,7 +232,7 @@
         let _ = timeout(SETTLE_WITHIN, given_back).await;
         let mut is_served = false;
         for attempt in 0..10 {
-            is_served = is_served || self.serves(&format!("settled-{attempt}")).await;
+            is_served = is_served || self.serves(&format!("ask-settled-{attempt}")).await;
         }
         self.note_memory();
         let after = resident();
@@ -247,7 +247,7 @@
 
     async fn serves(&self, id: &str) -> bool {
         let Some(mut stream) = self.connect().await else { return false };
-        let request = super::clients::request_text(id, "ask", 2000, "{}");
+        let request = super::clients::request_text(id, 2000, "{}");
         if stream.write_all(request.as_bytes()).await.is_err() {
             return false;
         }
