Tests: the reader of tests/races.rs takes a reset as a server would

Cause: the first of the issue's two. In each red play the stand-in for the reader panicked first, as its answer met a reset, and the client that stays then found no reader: so the missing last chunk is the same failure. The program resets connections of requests that it calls off, and the clients of the flood have all gone. The writer stand-in beside it takes a reset already.

Change: an answer that meets a reset ends its connection, if its id is that of a client that asks and goes; for any other id the stand-in panics as before, so a reset under a client that stays still fails the test. What is asked of clients, counts and descriptors is unchanged.

--- a/tests/races.rs
+++ b/tests/races.rs
@@ -33,9 +33,15 @@
     tokio::spawn(async move {
         loop {
             let mut request = reader.next().await;
-            sees.lock().expect("no panic").push(id_of(&request.head));
-            request.answer("202 Accepted", "", r#"{"cached_tokens":0}"#).await;
-            request.go_on();
+            let id = id_of(&request.head);
+            sees.lock().expect("no panic").push(id.clone());
+            if request.wire.takes(READ).await {
+                request.go_on();
+            } else {
+                // Only requests of clients that have gone are called off, and their connections reset.
+                let has_gone = GONE.iter().any(|prefix| id.starts_with(prefix));
+                assert!(has_gone, "the connection of {id} was reset, whose client stays");
+            }
         }
     });
     tokio::spawn(async move {
@@ -48,6 +54,12 @@
     (list, seen)
 }
 
+/// What the ids of clients that ask and go begin with.
+const GONE: [&str; 3] = ["flood-", "behind-", "late-"];
+
+/// A reader's answer.
+const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
+
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
                      e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 
