Tests: count a process's descriptors once the program itself runs

Cause: the count began right after the spawn. The system lets the parent go on before it closes the descriptors that the new program must not inherit, so the count saw those of the test process, which runs eight other tests.

Change: the count begins with the program's first call to discovery, before any client comes. Bound and clients are unchanged.

--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -378,9 +378,10 @@
         .kill_on_drop(true)
         .spawn()
         .expect("it starts");
-    let max_descriptors = track_max_descriptors(&child);
     // Discovery doesn't answer its calls.
     let mut silent = vec![discovery.next().await];
+    // Until the system has started the program, the process shows the descriptors of the test.
+    let max_descriptors = track_max_descriptors(&child);
     let up = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
     loop {
         let mut wire = Wire::connect(&front.address).await;
