Listener: room for a crowd that connects at once

Cause: the queue of connections that wait to be accepted held 128, the runtime's default. When it overflows the system answers with cookies, and resets what comes on these while the queue is full. Other guesses: evictions of idle connections, closes over unread bytes; neither comes within 1 ms, nor overflows the queue.

Change: the fronts and the operators' address listen with a queue of 1,024 (transport::listen), as far as the system allows it. An inherited socket keeps the queue of whoever opened it.

--- a/src/transport/front/listener.rs
+++ b/src/transport/front/listener.rs
@@ -34,6 +34,7 @@
 use crate::protocol::framing::{Framing, MAX_HEAD_BYTES, framing, without_unread_fields};
 use crate::protocol::platform::MAX_BODY_BYTES;
 use crate::recovery::{Phase, Socket};
+use crate::transport::listen;
 
 /// Size of the read buffer while a head is awaited, in bytes.
 const READ_BYTES: usize = 2048;
@@ -64,7 +65,7 @@
 impl Listener {
     /// Listens on an address.
     pub async fn bind(address: &str, connections: Connections) -> io::Result<Self> {
-        Ok(Listener { listener: TcpListener::bind(address).await?, socket: Socket::Own, connections })
+        Ok(Listener { listener: listen::bind(address).await?, socket: Socket::Own, connections })
     }
 
     /// Listens on an inherited socket, which other processes may hold as well.
--- a/src/transport/front/operators.rs
+++ b/src/transport/front/operators.rs
@@ -28,6 +28,7 @@
 use crate::protocol::figures;
 use crate::recovery::{Call, Phase};
 use crate::transport::hub::message::Hub;
+use crate::transport::listen;
 
 /// How many callers may be connected at once, besides one that is just being accepted. Their descriptors come out of
 /// those that the budget reserves.
@@ -104,7 +105,7 @@
 impl OperatorsListener {
     /// Listens on an address.
     pub async fn bind(address: &str) -> io::Result<Self> {
-        Ok(OperatorsListener { listener: TcpListener::bind(address).await? })
+        Ok(OperatorsListener { listener: listen::bind(address).await? })
     }
 
     /// Returns the address that it listens on.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod hub;
 pub mod inherited;
 pub mod list;
+pub mod listen;
 pub mod memory;
 pub mod peer;
 pub mod relay;
