Deliveries: charge what waits for its server, so that the sum over all calls is bounded

Seen in a test: 30 results that wait for a server which does not answer raised charged_memory by 87,050 bytes, which is four tries in flight with their connections; the 26 others were charged to nobody. Each call has 32 at most, but the calls together have no bound of their own.

Cause: a try was charged, the task and the message of a delivery between its tries were not.

Change: each is charged 4 KiB from the raise to the end of its delivery. A raise is read only while there is room in the budget, so this bounds the sum.

Test: results_that_wait_for_their_server_are_charged, red before with the figure above (122,880 wanted).

--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -401,7 +401,7 @@
         id: &Value,
         memory: &mut Charge,
     ) -> Option<PromisedResult> {
-        let place = nested.register(id, memory).await?;
+        let place = nested.register(id, memory, self.relay.memory()).await?;
         let call = RaisingCall {
             relay: self.relay.clone(),
             server: self.server.clone()?,
--- a/src/transport/relay/nested.rs
+++ b/src/transport/relay/nested.rs
@@ -14,12 +14,15 @@
 use crate::interface::Micros;
 use crate::protocol::jsonrpc::{self, RpcError};
 use crate::transport::delivery::{CallState, Delivery, Post, PostTarget};
-use crate::transport::memory::Charge;
+use crate::transport::memory::{Charge, MemoryBudget};
 
 /// The most nested calls of one answer that run, or whose results are being delivered. The server has to wait with others.
 const MAX_OPEN_NESTED: usize = 32;
 /// What the entry of an id occupies besides its text, in bytes.
 const SEEN_ID_BYTES: usize = 64;
+/// What a nested call occupies until its result is delivered, besides its request, its result and its id, in bytes: its promise,
+/// and the task and the message of the delivery.
+const DELIVERY_BYTES: usize = 4 * 1024;
 /// How often the text of an id is kept until its result is delivered, at most.
 const ID_COPIES: usize = 4;
 /// The part of a call's time that is kept for delivering the results of its nested calls: one in so many,
@@ -52,7 +55,12 @@
 impl NestedCalls {
     /// Registers a nested call and waits until it may run; returns `None` if its id has been seen before. What is kept of the
     /// id is taken from the charge of its message.
-    pub(super) async fn register(&mut self, id: &Value, memory: &mut Charge) -> Option<NestedPlace> {
+    pub(super) async fn register(
+        &mut self,
+        id: &Value,
+        memory: &mut Charge,
+        budget: &MemoryBudget,
+    ) -> Option<NestedPlace> {
         let id = id.to_string();
         let id_bytes = id.len();
         if !self.seen_ids.insert(id) {
@@ -65,7 +73,8 @@
         }
         let id_memory = memory.split(ID_COPIES * id_bytes);
         let permit = self.places.clone().acquire_owned().await.ok()?;
-        Some(NestedPlace { _permit: permit, _id_memory: id_memory })
+        let delivery_memory = budget.charge_unconditionally(DELIVERY_BYTES);
+        Some(NestedPlace { _permit: permit, _id_memory: id_memory, _delivery_memory: delivery_memory })
     }
 }
 
@@ -73,6 +82,7 @@
 pub(super) struct NestedPlace {
     _permit: OwnedSemaphorePermit,
     _id_memory: Charge,
+    _delivery_memory: Charge,
 }
 
 /// Returns how long a nested call may take if the call above it has this much time left: its result has to reach the server
--- a/tests/deliveries.rs
+++ b/tests/deliveries.rs
@@ -12,6 +12,9 @@
 
 /// The server's id for the call that it makes.
 const RAISED: &str = "raised-1";
+/// How many calls one server makes whose results wait, and what each of them takes at least, in bytes.
+const RAISED_CALLS: u64 = 30;
+const DELIVERY_BYTES: u64 = 4 * 1024;
 /// How long the story waits for something that must not come.
 const QUIET: Duration = Duration::from_millis(600);
 
@@ -357,3 +360,22 @@
         assert!(process.child.wait().await.expect("a process").success());
     });
 }
+
+/// Guards against results that wait for their server and are charged to nobody: each call has few, but there are many calls.
+#[test]
+fn results_that_wait_for_their_server_are_charged() {
+    story(async {
+        let mut server = Peer::start().await;
+        let conductor = with_figures(&[member("t-a", &server.address, "tool")], 256).await;
+        let _client = conductor.call(json!("mine"), "wagon.position").await;
+        let mut outer = server.next().await;
+        outer.begin().await;
+        let before = figure(&conductor.admin, "charged_memory").await;
+        for number in 0..RAISED_CALLS {
+            outer.event(tool_call(json!(number), "no.such.tool")).await;
+        }
+        until_figure(&conductor, "posts_in_progress", RAISED_CALLS).await;
+        let charged = figure(&conductor.admin, "charged_memory").await - before;
+        assert!(charged >= RAISED_CALLS * DELIVERY_BYTES, "{charged} bytes for {RAISED_CALLS} results");
+    });
+}
